--- /dev/null
+++ b/dunehold/__init__.py
@@ -0,0 +1,1 @@
+"""dunehold: a cluster scheduler that rents its machines."""
--- /dev/null
+++ b/dunehold/__main__.py
@@ -0,0 +1,7 @@
+"""``python3 -m dunehold``."""
+
+import sys
+
+from dunehold.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/dunehold/bookkeeping/records.py
@@ -0,0 +1,161 @@
+"""What is durable in the state service, and how it is written there."""
+
+from __future__ import annotations
+
+import base64
+from dataclasses import dataclass, field
+from typing import Any
+
+from dunehold.protocol import codec
+from dunehold.protocol.cloud import Rental
+from dunehold.protocol.codec import BadMessage
+from dunehold.protocol.users import JobSpec, decode_job_object, encode_job
+from dunehold.types import (
+    HostId,
+    JobId,
+    JobPhase,
+    NodeId,
+    RentalId,
+    Revision,
+    Token,
+    TypeName,
+    WallTime,
+    Zone,
+)
+
+PREFIX = "dunehold/"
+LEADER_KEY = PREFIX + "leader"
+TOKEN_KEY = PREFIX + "token"
+JOBS = PREFIX + "jobs/"
+MARKS = PREFIX + "marks/"
+HOSTS = PREFIX + "hosts/"
+RENTALS = PREFIX + "rentals/"
+
+# One page of done marks is a bitmap of so many tasks: 700 bytes in base64, which fits
+# the smallest value size that the settings allow (1 KiB).
+PAGE_TASKS = 4096
+HOST_RECORD_BYTES = 150
+
+
+def job_key(job: JobId) -> str:
+    return JOBS + job
+
+
+def mark_key(job: JobId, page: int) -> str:
+    return f"{MARKS}{job}/{page}"
+
+
+@dataclass(slots=True)
+class JobRecord:
+    """A job as the state service knows it."""
+
+    id: JobId
+    phase: JobPhase
+    version: Revision
+    accepted_at: WallTime
+    spec: JobSpec | None
+    tasks: int
+    marks: dict[int, int] = field(default_factory=dict)  # page -> bitmap of done tasks
+
+    def done(self, index: int) -> bool:
+        page, bit = divmod(index, PAGE_TASKS)
+        return bool(self.marks.get(page, 0) >> bit & 1)
+
+    def done_count(self) -> int:
+        return sum(bits.bit_count() for bits in self.marks.values())
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderRecord:
+    node: NodeId
+    incarnation: str
+    token: Token
+    version: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class HostRecord:
+    """A machine that may have been told to start tasks."""
+
+    id: HostId
+    address: str
+    type: TypeName
+    zone: Zone
+    spot: bool
+
+
+def encode_job_record(spec: JobSpec, phase: JobPhase, accepted_at: WallTime) -> dict[str, Any]:
+    return {"phase": phase.value, "at": accepted_at, "job": encode_job(spec)}
+
+
+def encode_done(record: JobRecord) -> dict[str, Any]:
+    """Nothing but the end is needed of a job that is done."""
+    return {"phase": JobPhase.DONE.value, "at": record.accepted_at, "tasks": record.tasks}
+
+
+def decode_job_record(job: JobId, value: Any, version: Revision) -> JobRecord:
+    if not isinstance(value, dict):
+        raise BadMessage("job record")
+    row = value.get("job")
+    spec = decode_job_object(row) if isinstance(row, dict) else None
+    return JobRecord(
+        job,
+        JobPhase(str(value.get("phase"))),
+        version,
+        WallTime(codec.amount(value, "at")),
+        spec,
+        spec.tasks if spec is not None else codec.count(value, "tasks"),
+    )
+
+
+def encode_bitmap(bits: int) -> str:
+    return base64.b64encode(bits.to_bytes((bits.bit_length() + 7) // 8, "little")).decode()
+
+
+def decode_bitmap(value: Any) -> int:
+    if not isinstance(value, str):
+        raise BadMessage("bitmap")
+    return int.from_bytes(base64.b64decode(value), "little")
+
+
+def encode_leader(node: NodeId, incarnation: str, token: Token) -> dict[str, Any]:
+    return {"node": node, "incarnation": incarnation, "token": token}
+
+
+def decode_leader(value: Any, version: Revision) -> LeaderRecord:
+    if not isinstance(value, dict):
+        raise BadMessage("leader record")
+    return LeaderRecord(
+        NodeId(codec.text(value, "node")),
+        codec.text(value, "incarnation"),
+        Token(codec.count(value, "token")),
+        version,
+    )
+
+
+def encode_hosts(hosts: list[HostRecord]) -> dict[str, Any]:
+    return {host.id: [host.address, host.type, host.zone, host.spot] for host in hosts}
+
+
+def decode_hosts(value: Any) -> dict[HostId, HostRecord]:
+    if not isinstance(value, dict):
+        raise BadMessage("hosts record")
+    found = {}
+    for name, row in value.items():
+        if not isinstance(row, list) or len(row) != 4:
+            raise BadMessage("host record")
+        host = HostId(name)
+        found[host] = HostRecord(
+            host, str(row[0]), TypeName(row[1]), Zone(row[2]), bool(row[3])
+        )
+    return found
+
+
+def encode_rental(rental: Rental) -> list[Any]:
+    return [rental.type, rental.zone, rental.spot, rental.number]
+
+
+def decode_rental(rental: RentalId, value: Any) -> Rental:
+    if not isinstance(value, list) or len(value) != 4:
+        raise BadMessage("rental record")
+    return Rental(rental, TypeName(value[0]), Zone(value[1]), bool(value[2]), int(value[3]))
--- /dev/null
+++ b/dunehold/bookkeeping/view.py
@@ -0,0 +1,119 @@
+"""This node's copy of the state service's keys, changed only by applying changes in order."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+
+from dunehold.bookkeeping import records
+from dunehold.bookkeeping.records import HostRecord, JobRecord, LeaderRecord
+from dunehold.protocol.cloud import Rental
+from dunehold.protocol.state import Change, Entry
+from dunehold.types import HostId, JobId, JobPhase, RentalId, Revision, Token
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class View:
+    applied: Revision = Revision(0)
+    loaded: bool = False
+    leader: LeaderRecord | None = None
+    token: Token = Token(0)
+    token_version: Revision = Revision(0)
+    jobs: dict[JobId, JobRecord] = field(default_factory=dict)
+    active: dict[JobId, JobRecord] = field(default_factory=dict)
+    hosts: dict[HostId, HostRecord] = field(default_factory=dict)
+    host_pages: dict[int, dict[HostId, HostRecord]] = field(default_factory=dict)
+    rentals: dict[RentalId, Rental] = field(default_factory=dict)
+    orphan_marks: dict[JobId, dict[int, int]] = field(default_factory=dict)
+
+    def load(self, entries: list[Entry], revision: Revision) -> None:
+        """Start over from a full listing."""
+        fresh = View()
+        for entry in entries:
+            fresh._apply_one(Change(entry.key, entry.value, entry.version, False))
+        for name in self.__slots__:
+            setattr(self, name, getattr(fresh, name))
+        self.applied = revision
+        self.loaded = True
+
+    def apply(self, changes: list[Change], revision: Revision) -> list[JobId]:
+        """Apply what is newer than what is here; the jobs that changed.
+
+        Answers of the watch and of barriers overlap. Anything not newer than ``applied``
+        was seen already, and applying it again would take a key back.
+        """
+        touched: list[JobId] = []
+        for change in changes:
+            if change.version > self.applied:
+                job = self._apply_one(change)
+                if job is not None:
+                    touched.append(job)
+        self.applied = max(self.applied, revision)
+        return touched
+
+    def _apply_one(self, change: Change) -> JobId | None:
+        key = change.key
+        try:
+            if key.startswith(records.JOBS):
+                return self._apply_job(JobId(key[len(records.JOBS) :]), change)
+            if key.startswith(records.MARKS):
+                return self._apply_mark(key[len(records.MARKS) :], change)
+            if key.startswith(records.HOSTS):
+                self._apply_hosts(int(key[len(records.HOSTS) :]), change)
+            elif key.startswith(records.RENTALS):
+                rental = RentalId(key[len(records.RENTALS) :])
+                if change.deleted:
+                    self.rentals.pop(rental, None)
+                else:
+                    self.rentals[rental] = records.decode_rental(rental, change.value)
+            elif key == records.LEADER_KEY:
+                self.leader = (
+                    None
+                    if change.deleted
+                    else records.decode_leader(change.value, change.version)
+                )
+            elif key == records.TOKEN_KEY and not change.deleted:
+                self.token = Token(int(change.value))
+                self.token_version = change.version
+        except (ValueError, TypeError, ArithmeticError) as error:
+            log.error("key %s is not readable: %s", key, error)
+        except Exception as error:  # a value written by something else must not end us
+            log.error("key %s is not readable: %r", key, error)
+        return None
+
+    def _apply_job(self, job: JobId, change: Change) -> JobId | None:
+        if change.deleted:
+            return None  # never done by dunehold: an accepted job is kept
+        record = records.decode_job_record(job, change.value, change.version)
+        old = self.jobs.get(job)
+        if old is not None:
+            record.marks = old.marks
+        else:
+            record.marks = self.orphan_marks.pop(job, {})
+        self.jobs[job] = record
+        if record.phase is JobPhase.ACTIVE:
+            self.active[job] = record
+        else:
+            self.active.pop(job, None)
+        return job
+
+    def _apply_mark(self, rest: str, change: Change) -> JobId | None:
+        name, _, page = rest.rpartition("/")
+        job = JobId(name)
+        record = self.jobs.get(job)
+        marks = record.marks if record is not None else self.orphan_marks.setdefault(job, {})
+        if change.deleted:
+            marks.pop(int(page), None)
+        else:
+            marks[int(page)] = records.decode_bitmap(change.value)
+        return job
+
+    def _apply_hosts(self, page: int, change: Change) -> None:
+        for host in self.host_pages.pop(page, {}):
+            self.hosts.pop(host, None)
+        if not change.deleted:
+            rows = records.decode_hosts(change.value)
+            self.host_pages[page] = rows
+            self.hosts.update(rows)
--- /dev/null
+++ b/dunehold/cli.py
@@ -0,0 +1,139 @@
+"""The command line: serve, check-config, submit, status, cancel."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import logging
+import os
+import sys
+from pathlib import Path
+
+from dunehold import settings as settings_module
+from dunehold.settings import Settings, SettingsError
+
+OPERATOR_FILE = Path(__file__).resolve().parent.parent / "deploy" / "operator.sexp"
+EXIT_FAILED, EXIT_USAGE = 1, 2
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def build_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="dunehold", description="A cluster scheduler.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    serve = commands.add_parser("serve", help="run one controller until it is killed")
+    check = commands.add_parser("check-config", help="check the settings and say what is wrong")
+    for command in (serve, check):
+        command.add_argument("--config", required=True, type=Path, help="settings file (TOML)")
+        command.add_argument(
+            "--operator",
+            type=Path,
+            default=None,
+            help="operators' settings (S-expressions); default: deploy/operator.sexp if there",
+        )
+    submit = commands.add_parser("submit", help="submit a job from a JSON file")
+    submit.add_argument("file", help="the job, as in POST /v1/jobs; - for standard input")
+    status = commands.add_parser("status", help="show a job's state")
+    cancel = commands.add_parser("cancel", help="cancel a job")
+    for command in (status, cancel):
+        command.add_argument("job", help="the job's id, such as job-000412")
+    for command in (submit, status, cancel):
+        command.add_argument(
+            "--server", default="127.0.0.1:8080", help="HOST:PORT of any controller"
+        )
+        command.add_argument("--timeout", type=float, default=5.0, help="seconds to wait")
+    return parser
+
+
+def main(arguments: list[str] | None = None) -> int:
+    options = build_parser().parse_args(arguments)
+    if options.command in ("serve", "check-config"):
+        try:
+            settings = _load(options)
+        except SettingsError as error:
+            print(f"dunehold: {error}", file=sys.stderr)
+            return EXIT_USAGE
+        if options.command == "check-config":
+            print(f"{options.config}: in order; node {settings.node} of {settings.node_count}")
+            return 0
+        return _serve(settings)
+    return _client(options)
+
+
+def _load(options: argparse.Namespace) -> Settings:
+    operator = options.operator
+    if operator is None and OPERATOR_FILE.exists():
+        operator = OPERATOR_FILE
+    return settings_module.load(options.config, operator)
+
+
+def _serve(settings: Settings) -> int:
+    name = os.environ.get("LOG_LEVEL", "info").lower()
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=LEVELS.get(name, logging.INFO),
+        format="%(levelname).1s %(name)s: %(message)s",
+    )
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
+    from dunehold.coordination.node import Node  # the client commands need none of it
+
+    async def run() -> None:
+        await Node(settings).run()
+
+    # What is loaded by now stays: the collector need not look at it again and again.
+    gc.collect()
+    gc.freeze()
+    try:
+        asyncio.run(run())
+    except KeyboardInterrupt:
+        return 0
+    except OSError as error:
+        print(f"dunehold: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    return EXIT_FAILED
+
+
+def _client(options: argparse.Namespace) -> int:
+    from dunehold.protocol import codec, users
+    from dunehold.transport.http import HttpClient, NoResponse
+
+    host, colon, port = options.server.rpartition(":")
+    if not colon or not port.isdigit():
+        print("dunehold: --server: must be HOST:PORT", file=sys.stderr)
+        return EXIT_USAGE
+    if options.command == "submit":
+        try:
+            body = (
+                sys.stdin.buffer.read()
+                if options.file == "-"
+                else Path(options.file).read_bytes()
+            )
+            job = users.decode_job(body)
+        except OSError as error:
+            print(f"dunehold: {options.file}: {error.strerror}", file=sys.stderr)
+            return EXIT_USAGE
+        except codec.BadMessage as error:
+            print(f"dunehold: {options.file}: {error}", file=sys.stderr)
+            return EXIT_USAGE
+        method, target = "POST", users.JOBS_PATH
+        sent: bytes | None = codec.dump(users.encode_job(job))
+    else:
+        if not users.valid_job_id(options.job):
+            print("dunehold: a job's id looks like job-000412", file=sys.stderr)
+            return EXIT_USAGE
+        target = f"{users.JOBS_PATH}/{options.job}"
+        method, sent = "GET", None
+        if options.command == "cancel":
+            method, target, sent = "POST", f"{target}/{users.CANCEL_SUFFIX}", b"{}"
+    try:
+        client = HttpClient(host, int(port))
+        code, data = asyncio.run(client.request(method, target, sent, options.timeout))
+    except NoResponse as error:
+        print(f"dunehold: {options.server}: no answer ({error}); try again", file=sys.stderr)
+        return EXIT_FAILED
+    print(data.decode("utf-8", "replace"))
+    if code in (200, 201):
+        return 0
+    hint = "try again" if code in (429, 503, 504) else "not accepted"
+    print(f"dunehold: status {code}: {hint}", file=sys.stderr)
+    return EXIT_FAILED
--- /dev/null
+++ b/dunehold/coordination/autoscaler.py
@@ -0,0 +1,169 @@
+"""Which machines to rent and which to return: a pure function from a picture of the fleet."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dunehold.protocol.cloud import MAX_RENT, MachineType
+from dunehold.types import HostId, Room, TypeName, Zone
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A kind of machine that the cloud may have."""
+
+    type: TypeName
+    zone: Zone
+    spot: bool
+
+
+@dataclass(slots=True)
+class FleetHost:
+    id: HostId
+    offer: Offer
+    total: Room
+    free: Room  # now, or once booted
+    freed: list[tuple[float, Room]]  # estimated end and room of what runs on it
+    idle_s: float | None
+    usable: bool
+
+
+@dataclass(slots=True)
+class Demand:
+    """Waiting tasks of one shape."""
+
+    need: Room
+    tasks: int
+    run_s: float
+    allowed: Callable[[Offer], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Rent:
+    offer: Offer
+    number: int
+
+
+@dataclass(slots=True)
+class Decision:
+    rent: list[Rent] = field(default_factory=list)
+    give_back: list[HostId] = field(default_factory=list)
+
+
+def decide(
+    types: dict[TypeName, MachineType],
+    hosts: list[FleetHost],
+    demands: list[Demand],
+    refused: set[Offer],
+    kept_cpus: float,
+    idle_return_s: float,
+) -> Decision:
+    decision = Decision()
+    horizon = min((kind.boot_s for kind in types.values()), default=0.0)
+    room = {}
+    for host in hosts:
+        if host.usable:
+            free = host.free
+            for ends_s, need in host.freed:
+                # What frees up before a new machine could have booted needs no machine.
+                if ends_s < horizon:
+                    free = free.plus(need)
+            room[host.id] = free
+    offers = {host.id: host.offer for host in hosts}
+    per_zone: dict[Zone, int] = {}
+    for host in hosts:
+        per_zone[host.offer.zone] = per_zone.get(host.offer.zone, 0) + 1
+    asked: dict[Offer, int] = {}
+    for demand in demands:
+        left = demand.tasks
+        for host_id, free in room.items():
+            if left <= 0:
+                break
+            if demand.allowed(offers[host_id]):
+                fits = min(left, free.copies(demand.need))
+                for _ in range(fits):
+                    free = free.minus(demand.need)
+                room[host_id] = free
+                left -= fits
+        if left > 0:
+            _rent(types, demand, left, refused, per_zone, asked, room, offers)
+    decision.rent = [Rent(offer, min(number, MAX_RENT)) for offer, number in asked.items()]
+    if not asked:
+        decision.give_back = _give_back(types, hosts, kept_cpus, idle_return_s)
+    return decision
+
+
+def _rent(
+    types: dict[TypeName, MachineType],
+    demand: Demand,
+    left: int,
+    refused: set[Offer],
+    per_zone: dict[Zone, int],
+    asked: dict[Offer, int],
+    room: dict[HostId, Room],
+    offers: dict[HostId, Offer],
+) -> None:
+    """Ask for the cheapest machines that take the tasks; an offer is asked once a round."""
+    options: list[tuple[float, int, Offer, MachineType]] = []
+    for kind in types.values():
+        copies = kind.room.copies(demand.need)
+        if copies <= 0:
+            continue
+        for zone in kind.zones:
+            for spot in (True, False):
+                offer = Offer(kind.name, zone, spot)
+                if offer in refused or offer in asked or not demand.allowed(offer):
+                    continue
+                price = kind.spot_price if spot else kind.price
+                cost = price * math.ceil(left / copies)
+                options.append((cost, per_zone.get(zone, 0), offer, kind))
+    if not options:
+        return
+    _, _, offer, kind = min(options, key=lambda option: option[:2])
+    copies = kind.room.copies(demand.need)
+    number = math.ceil(left / copies)
+    twins = [o for o in options if o[2].type == offer.type and o[2].spot == offer.spot]
+    share = math.ceil(number / len(twins)) if number > 1 else number
+    for _, _, twin, _ in sorted(twins, key=lambda option: option[1]):
+        take = min(share, number)
+        if take <= 0:
+            break
+        asked[twin] = take
+        number -= take
+        per_zone[twin.zone] = per_zone.get(twin.zone, 0) + take
+    spare = math.ceil(left / copies) * copies - left
+    if spare:
+        # The rest of the last machine serves the demands that follow.
+        ghost = HostId(f"+{len(room)}")
+        free = kind.room
+        for _ in range(copies - spare):
+            free = free.minus(demand.need)
+        room[ghost] = free
+        offers[ghost] = offer
+
+
+def _give_back(
+    types: dict[TypeName, MachineType],
+    hosts: list[FleetHost],
+    kept_cpus: float,
+    idle_return_s: float,
+) -> list[HostId]:
+    """Idle machines beyond what recent demand needed, the dearest a CPU first."""
+
+    def price(host: FleetHost) -> float:
+        kind = types[host.offer.type]
+        rate = kind.spot_price if host.offer.spot else kind.price
+        return rate / max(kind.room.cpus, 1.0)
+
+    cpus = sum(host.total.cpus for host in hosts if host.usable)
+    back = []
+    for host in sorted(hosts, key=price, reverse=True):
+        idle = host.idle_s
+        if idle is None or idle < idle_return_s or not host.usable:
+            continue
+        if cpus - host.total.cpus >= kept_cpus:
+            cpus -= host.total.cpus
+            back.append(host.id)
+    return back
--- /dev/null
+++ b/dunehold/coordination/intake.py
@@ -0,0 +1,241 @@
+"""What any node does for users: accept, answer and cancel, by guarded transactions."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dunehold.bookkeeping import records
+from dunehold.bookkeeping.ledger import host_allowed
+from dunehold.bookkeeping.records import JobRecord
+from dunehold.bookkeeping.view import View
+from dunehold.coordination.sync import TROUBLE, Sync
+from dunehold.protocol import codec, users
+from dunehold.protocol.cloud import MachineType
+from dunehold.protocol.codec import BadMessage
+from dunehold.protocol.state import ABSENT, MAX_TXN_BYTES, Priority, StateClient, Txn
+from dunehold.protocol.users import JobSpec
+from dunehold.settings import Settings
+from dunehold.transport.http import Request, Response
+from dunehold.types import JobId, JobPhase, Kind, TypeName, WallTime
+
+log = logging.getLogger(__name__)
+
+BUSY = Response(503, users.encode_error("try again later"), retry_after=1)
+NOT_FOUND = Response(404, users.encode_error("no such job"))
+MAX_PENDING = 2000
+CANCEL_TRIES = 4
+
+
+class Impossible(Exception):
+    """The job can never run, with the reason."""
+
+
+def check_possible(
+    spec: JobSpec, settings: Settings, types: dict[TypeName, MachineType]
+) -> None:
+    """Raise Impossible when no fleet could ever run the job."""
+    team = settings.teams.get(spec.team)
+    if team is None:
+        raise Impossible(f"owner: unknown team {spec.team}")
+    count = spec.tasks if spec.kind is Kind.SERVICE else 1
+    need = spec.need
+    for name, limit, amount in (
+        ("vcpus", team.limit_cpus, need.cpus),
+        ("gpus", team.limit_gpus, need.gpus),
+    ):
+        if limit is not None and amount * count > limit + 1e-6:
+            raise Impossible(f"{name}: more than the team's limit")
+    zones = set()
+    for kind in types.values():
+        for zone in kind.zones:
+            if host_allowed(spec, kind.name, zone, False) and kind.room.holds(need):
+                zones.add(zone)
+    if not zones:
+        raise Impossible("a task fits no allowed machine type")
+    if spec.spread and spec.tasks > 1 and len(zones) < 2 and spec.kind is Kind.SERVICE:
+        raise Impossible("spread: only one zone is possible")
+    if spec.spread and spec.one_zone and spec.tasks > 1 and spec.kind is Kind.SERVICE:
+        raise Impossible("spread: contradicts together")
+
+
+@dataclass(slots=True)
+class _Submission:
+    spec: JobSpec
+    at: WallTime
+    future: asyncio.Future[bool | None]  # created, known already, or undecided
+
+
+@dataclass(slots=True)
+class Intake:
+    settings: Settings
+    state: StateClient
+    view: View
+    sync: Sync
+    types: Callable[[], dict[TypeName, MachineType] | None]
+    running: Callable[[JobId], int]
+    _pending: dict[JobId, _Submission] = field(default_factory=dict)
+    _flush_task: asyncio.Task[None] | None = None
+
+    async def handle(self, request: Request) -> Response | None:
+        """The answer to a user's request, or None when it is not a user's."""
+        path = request.path
+        if path == users.JOBS_PATH:
+            return await self._submit(request.body) if request.method == "POST" else _method()
+        if not path.startswith(users.JOBS_PATH + "/"):
+            return None
+        name, _, action = path[len(users.JOBS_PATH) + 1 :].partition("/")
+        if not users.valid_job_id(name):
+            return NOT_FOUND  # nobody can have submitted it
+        job = JobId(name)
+        if action == "":
+            return await self._get(job) if request.method == "GET" else _method()
+        if action == users.CANCEL_SUFFIX:
+            return await self._cancel(job) if request.method == "POST" else _method()
+        return NOT_FOUND
+
+    # -- queries -------------------------------------------------------------------
+
+    async def _get(self, job: JobId) -> Response:
+        record = self.view.jobs.get(job)
+        if record is None or not record.phase.final:
+            try:
+                await self.sync.barrier()
+            except TROUBLE:
+                return BUSY  # what can't be proved is never a 404
+            record = self.view.jobs.get(job)
+            if record is None:
+                return NOT_FOUND
+        return Response(200, self._describe(record))
+
+    def _describe(self, record: JobRecord) -> bytes:
+        if record.phase is JobPhase.CANCELLED:
+            return users.encode_state(record.id, "cancelled", record.done_count(), 0)
+        if record.phase is JobPhase.DONE:
+            return users.encode_state(record.id, "done", record.tasks, 0)
+        running = self.running(record.id)
+        phase = "running" if running else "queued"
+        return users.encode_state(record.id, phase, record.done_count(), running)
+
+    # -- submissions -----------------------------------------------------------------
+
+    async def _submit(self, body: bytes) -> Response:
+        try:
+            spec = users.decode_job(body)
+        except BadMessage as error:
+            return Response(400, users.encode_error(str(error)))
+        if spec.id in self.view.jobs:
+            return await self._get(spec.id)
+        types = self.types()
+        if types is None:
+            return BUSY
+        try:
+            check_possible(spec, self.settings, types)
+        except Impossible as error:
+            # Another node may have accepted this id already: that answer must stand.
+            try:
+                await self.sync.barrier()
+            except TROUBLE:
+                return BUSY
+            if spec.id in self.view.jobs:
+                return await self._get(spec.id)
+            return Response(422, users.encode_error(str(error)))
+        if len(self._pending) >= MAX_PENDING:
+            return Response(503, users.encode_error("too many submissions"), retry_after=3)
+        entry = self._pending.get(spec.id)
+        if entry is None:
+            future: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
+            entry = _Submission(spec, WallTime(round(time.time(), 3)), future)
+            self._pending[spec.id] = entry
+            if self._flush_task is None or self._flush_task.done():
+                self._flush_task = asyncio.create_task(self._flush())
+        created = await asyncio.shield(entry.future)
+        if created is None:
+            return BUSY
+        if not created:
+            return await self._get(spec.id)
+        log.info(
+            "job %s accepted: %s %s, %d tasks of %g cpus",
+            spec.id,
+            spec.team,
+            spec.job_class,
+            spec.tasks,
+            spec.need.cpus,
+        )
+        return Response(201, users.encode_state(spec.id, "queued"))
+
+    async def _flush(self) -> None:
+        """Write waiting submissions, many to a transaction, until none waits."""
+        while self._pending:
+            batch: list[_Submission] = []
+            txn = Txn()
+            size = 0
+            for entry in self._pending.values():
+                value = records.encode_job_record(entry.spec, JobPhase.ACTIVE, entry.at)
+                size += len(codec.dump(value)) + 300
+                if batch and (len(batch) >= self.settings.txn_ops or size > MAX_TXN_BYTES):
+                    break
+                key = records.job_key(entry.spec.id)
+                txn.guards[key] = ABSENT
+                txn.puts[key] = value
+                batch.append(entry)
+            try:
+                result = await self.state.txn(txn, Priority.USER)
+                if not result.ok:
+                    await self.sync.barrier()
+            except TROUBLE as error:
+                log.info("submissions not written, to be retried by their users: %s", error)
+                for entry in batch:
+                    self._settle(entry, None)
+                continue
+            except Exception:
+                log.exception("submissions not written")
+                for entry in batch:
+                    self._settle(entry, None)
+                continue
+            for entry in batch:
+                if result.ok:
+                    self._settle(entry, True)
+                elif entry.spec.id in self.view.jobs:
+                    self._settle(entry, False)
+
+    def _settle(self, entry: _Submission, created: bool | None) -> None:
+        self._pending.pop(entry.spec.id, None)
+        if not entry.future.done():
+            entry.future.set_result(created)
+
+    # -- cancellations -----------------------------------------------------------------
+
+    async def _cancel(self, job: JobId) -> Response:
+        for _ in range(CANCEL_TRIES):
+            record = self.view.jobs.get(job)
+            try:
+                if record is None:
+                    await self.sync.barrier()
+                    record = self.view.jobs.get(job)
+                    if record is None:
+                        return NOT_FOUND
+                if record.phase is not JobPhase.ACTIVE:
+                    return Response(200, users.encode_state(job, record.phase.value))
+                assert record.spec is not None
+                key = records.job_key(job)
+                value = records.encode_job_record(
+                    record.spec, JobPhase.CANCELLED, record.accepted_at
+                )
+                # The job's version guards against calling a job cancelled that is done.
+                txn = Txn(guards={key: record.version}, puts={key: value})
+                result = await self.state.txn(txn, Priority.USER)
+                if result.ok:
+                    log.info("job %s cancelled by its user", job)
+                    return Response(200, users.encode_state(job, "cancelled"))
+                await self.sync.barrier()
+            except TROUBLE:
+                return BUSY
+        return BUSY
+
+
+def _method() -> Response:
+    return Response(405, users.encode_error("method not allowed"))
--- /dev/null
+++ b/dunehold/coordination/node.py
@@ -0,0 +1,324 @@
+"""A controller: its servers, the election, and what it answers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from dataclasses import dataclass, field
+
+from dunehold.bookkeeping import records
+from dunehold.bookkeeping.ledger import Ledger
+from dunehold.bookkeeping.view import View
+from dunehold.coordination.estimates import Estimates
+from dunehold.coordination.intake import Intake
+from dunehold.coordination.leader import Leader
+from dunehold.coordination.recorder import Recorder
+from dunehold.coordination.sync import TROUBLE, Sync
+from dunehold.protocol import users, workers
+from dunehold.protocol.cloud import CloudClient, CloudTrouble, MachineType, NoCapacity
+from dunehold.protocol.codec import BadMessage
+from dunehold.protocol.state import ABSENT, LeaseGone, Priority, StateClient, Txn
+from dunehold.settings import Settings
+from dunehold.transport.budget import Budget
+from dunehold.transport.http import HttpClient, HttpServer, NoResponse, Request, Response
+from dunehold.types import Duration, JobId, LeaseId, MonotonicTime, Revision, Token, TypeName
+
+log = logging.getLogger(__name__)
+
+RESERVED_SOCKETS = 200  # for workers' addresses, the state service, the cloud and peers
+BARRIER_GAP_S = 0.08
+WATCH_GAP_S = 0.1
+STOP_MARGIN_S = 4.0  # between the end of a lease and the end of cancel_s
+DRIFT = 1.001
+RESERVE_SHARE = 0.9  # of the state service's rates; the rest is for bursts that overlap
+
+
+@dataclass(slots=True)
+class Node:
+    settings: Settings
+    view: View = field(default_factory=View)
+    incarnation: str = field(default_factory=lambda: secrets.token_hex(8))
+    types: dict[TypeName, MachineType] | None = None
+    leader: Leader | None = None
+    leader_version: Revision = Revision(0)
+    lease: LeaseId | None = None
+    lease_until: MonotonicTime = MonotonicTime(-1e9)
+    state: StateClient = field(init=False)
+    cloud: CloudClient = field(init=False)
+    sync: Sync = field(init=False)
+    intake: Intake = field(init=False)
+    estimates: Estimates = field(default_factory=Estimates)
+    _election: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        settings = self.settings
+        share = RESERVE_SHARE / settings.node_count
+        self.state = StateClient(
+            HttpClient(settings.state.host, settings.state.port, max_links=16),
+            HttpClient(settings.state.host, settings.state.port, max_links=2),
+            Budget(settings.state_rps * share, max(2.0, settings.state_rps * share)),
+            Budget(
+                settings.state_write_rps * share,
+                max(float(settings.txn_ops), settings.state_write_rps * share),
+            ),
+        )
+        cloud = HttpClient(settings.cloud.host, settings.cloud.port, max_links=4)
+        self.cloud = CloudClient(cloud, Budget(settings.cloud_rps * 0.8, 2.0))
+        self.sync = Sync(
+            self.state,
+            self.view,
+            self._on_change,
+            Duration(BARRIER_GAP_S),
+            Duration(WATCH_GAP_S),
+        )
+        self.intake = Intake(
+            settings, self.state, self.view, self.sync, lambda: self.types, self._running
+        )
+
+    @property
+    def feed_limit_s(self) -> Duration:
+        """How long leases are fed without proof: what follows must end within cancel_s."""
+        workers_lease = self.settings.lease_s
+        return Duration(max(0.0, self.settings.cancel_s - workers_lease - STOP_MARGIN_S))
+
+    @staticmethod
+    def now() -> MonotonicTime:
+        return MonotonicTime(asyncio.get_running_loop().time())
+
+    # -- life ----------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        settings = self.settings
+        server = HttpServer(self.handle, max(16, settings.sockets - RESERVED_SOCKETS))
+        await server.start(settings.listen.host, settings.listen.port)
+        log.info(
+            "node %s listens on %s:%d",
+            settings.node,
+            settings.listen.host,
+            settings.listen.port,
+        )
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._forever(self.sync.watch))
+            group.create_task(self._forever(self._fetch_types))
+            group.create_task(self._forever(self._elect))
+
+    async def _forever(self, work) -> None:  # type: ignore[no-untyped-def]
+        """No failure of one activity ends the process."""
+        while True:
+            try:
+                await work()
+                return
+            except asyncio.CancelledError:
+                raise
+            except Exception:
+                log.exception("%s failed and is begun again", work.__qualname__)
+                await asyncio.sleep(1.0)
+
+    async def _fetch_types(self) -> None:
+        while self.types is None:
+            try:
+                self.types = await self.cloud.machine_types()
+                log.info("machine types: %s", ", ".join(self.types))
+                self._election.set()
+            except (CloudTrouble, NoCapacity, NoResponse, BadMessage) as error:
+                log.info("machine types not known yet: %s", error)
+                await asyncio.sleep(1.0)
+
+    # -- requests ------------------------------------------------------------------------
+
+    async def handle(self, request: Request) -> Response:
+        if request.path == workers.REPORT_PATH and request.method == "POST":
+            return self._report(request.body)
+        if request.path == users.HEALTH_PATH:
+            return Response(200)
+        response = await self.intake.handle(request)
+        return response or Response(404, users.encode_error("no such path"))
+
+    def _report(self, body: bytes) -> Response:
+        try:
+            report = workers.decode_report(body)
+        except BadMessage as error:
+            log.info("report ignored: %s", error)
+            return Response(400, users.encode_error(str(error)))
+        if self.leader is not None:
+            answer = self.leader.report(report)
+            if answer is not None:
+                return Response(200, answer)
+            if self.leader is not None:
+                return Response(503)
+        known = self.view.leader
+        name = known.node if known is not None and known.node != self.settings.node else None
+        return Response(421, workers.encode_redirect(name))
+
+    def _running(self, job: JobId) -> int:
+        return self.leader.running(job) if self.leader is not None else 0
+
+    # -- election ------------------------------------------------------------------------
+
+    def _on_change(self, touched: list[JobId]) -> None:
+        known = self.view.leader
+        if (
+            self.leader is not None
+            and (known is None or known.incarnation != self.incarnation)
+            and self.view.applied >= self.leader_version
+        ):
+            self._step_down("the leader key is another's or gone")
+        if self.leader is not None:
+            self.leader.jobs_changed(touched)
+        elif self._vacant():
+            self._election.set()
+
+    def _vacant(self) -> bool:
+        """Nobody leads, or this node's own earlier life, which is over."""
+        known = self.view.leader
+        return self.view.loaded and (
+            known is None
+            or (known.node == self.settings.node and known.incarnation != self.incarnation)
+        )
+
+    async def _elect(self) -> None:
+        renew = self.settings.operator.leader_renew_s
+        while True:
+            if self.leader is not None:
+                await self._renew()
+                await asyncio.sleep(renew)
+                continue
+            if self.types is not None and self._vacant():
+                try:
+                    await self._stand()
+                except (*TROUBLE, LeaseGone) as error:
+                    log.info("no leadership yet: %s", error)
+                    await asyncio.sleep(0.3)
+                continue
+            self._election.clear()
+            try:
+                async with asyncio.timeout(renew * 2):
+                    await self._election.wait()
+            except TimeoutError:
+                # The watch may be stuck; a vacancy must not go unseen.
+                try:
+                    await self.sync.barrier()
+                except TROUBLE as error:
+                    log.debug("refresh: %s", error)
+
+    async def _stand(self) -> None:
+        life = Duration(self.settings.operator.leader_lease_s)
+        await self.sync.barrier()
+        if not self._vacant():
+            return
+        sent = self.now()
+        lease = await self.state.grant(life, Priority.LEASE)
+        known = self.view.leader
+        token = Token(self.view.token + 1)
+        txn = Txn(
+            guards={
+                records.LEADER_KEY: known.version if known is not None else ABSENT,
+                records.TOKEN_KEY: self.view.token_version,
+            },
+            puts={
+                records.LEADER_KEY: records.encode_leader(
+                    self.settings.node, self.incarnation, token
+                ),
+                records.TOKEN_KEY: token,
+            },
+            lease=lease,
+            leased_key=records.LEADER_KEY,
+        )
+        try:
+            result = await self.state.txn(txn, Priority.LEASE)
+            won = result.ok
+        except NoResponse:
+            won = True  # it may have been applied: what the view says below decides
+        await self.sync.barrier(urgent=True)
+        known = self.view.leader
+        if not won or known is None or known.incarnation != self.incarnation:
+            await self.state.drop_lease(lease)
+            return
+        if known.token != token or self.types is None:
+            return
+        self.lease = lease
+        # The lease counts from when it was asked for, less what clocks may drift apart.
+        self.lease_until = MonotonicTime(sent + life / DRIFT)
+        self.leader_version = known.version
+        self._begin(token)
+
+    def _begin(self, token: Token) -> None:
+        assert self.types is not None
+        settings = self.settings
+        ledger = Ledger(
+            self.view,
+            token,
+            self.now(),
+            self.leader_version,
+            settings.teams,
+            self.types,
+            settings.lease_s,
+            self.feed_limit_s,
+        )
+        recorder = Recorder(
+            settings,
+            self.state,
+            self.sync,
+            self.view,
+            ledger,
+            self.leader_version,
+            lambda: self.leader.make_dirty() if self.leader is not None else None,
+        )
+        self.leader = Leader(
+            settings,
+            self.view,
+            ledger,
+            recorder,
+            self.cloud,
+            token,
+            self.types,
+            self._may_start,
+            self._may_feed,
+            lambda: self._step_down("told so"),
+            self.estimates,
+        )
+        log.info(
+            "node %s leads with token %d: %d active jobs, %d machines on record",
+            settings.node,
+            token,
+            len(self.view.active),
+            len(self.view.hosts),
+        )
+        self.leader.start()
+
+    async def _renew(self) -> None:
+        lease = self.lease
+        if lease is None:
+            return
+        sent = self.now()
+        try:
+            await self.state.extend(lease)
+            life = self.settings.operator.leader_lease_s
+            self.lease_until = MonotonicTime(sent + life / DRIFT)
+            # The lease alone proves nothing of cancellations: read what is new as well.
+            await self.sync.barrier(urgent=True)
+        except LeaseGone:
+            self._step_down("the lease has ended")
+        except TROUBLE as error:
+            log.info("leadership not renewed: %s", error)
+
+    def _may_start(self) -> bool:
+        """Nothing is started without proof of still being the leader."""
+        return self.leader is not None and self.now() < self.lease_until
+
+    def _may_feed(self) -> bool:
+        """A cancellation that this node can't see must still end its tasks in time."""
+        return self.now() < self.sync.proved_at + self.feed_limit_s / DRIFT
+
+    def _step_down(self, reason: str) -> None:
+        leader, self.leader = self.leader, None
+        if leader is None:
+            return
+        log.info(
+            "node %s no longer leads (token %d): %s", self.settings.node, leader.token, reason
+        )
+        self.lease = None
+        self.lease_until = MonotonicTime(-1e9)
+        leader.stop()
+        self._election.set()
--- /dev/null
+++ b/dunehold/coordination/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""MEASY as a pure function from a snapshot to decisions."""
--- /dev/null
+++ b/dunehold/coordination/scheduler/measy.py
@@ -0,0 +1,318 @@
+"""The walk of MEASY over machines of several shapes (see docs/design.md).
+
+Step 1 starts entries in list order until one does not fit: the head. Step 2 holds room for
+the head on the machine where it fits first (shadow time, extra room) and backfills later
+entries. Step 3 runs what is left in the background tier, in room promised to the head,
+shortest estimate first. Background runs are on the same list, and are lifted in place, or
+moved, when it is their turn.
+"""
+
+from __future__ import annotations
+
+from dunehold.coordination.scheduler.model import (
+    Entry,
+    HostState,
+    Plan,
+    Policy,
+    Reservation,
+    RunState,
+    Snapshot,
+    Start,
+    Stop,
+)
+from dunehold.types import NO_ROOM, Attempt, AttemptId, HostId, Room, TaskId, Tier
+
+NEVER = float("inf")
+STICKINESS_S = 5.0
+SCARCITY_COST_S = 10.0
+PLANNED = Attempt(0)  # stands for attempts that this very plan starts
+
+
+class _Walk:
+    def __init__(self, snapshot: Snapshot, policy: Policy) -> None:
+        self.policy = policy
+        self.hosts = snapshot.hosts
+        self.by_id: dict[HostId, HostState] = {host.id: host for host in snapshot.hosts}
+        self.entries = sorted(snapshot.entries, key=_list_order)
+        self.team_room = dict(snapshot.team_room)
+        self.held = {hold.job: hold for hold in snapshot.held}
+        self.reserved: dict[HostId, Reservation] = {}
+        self.claimed: dict[HostId, Room] = {}  # room being cleared for somebody by stops
+        self.plan = Plan()
+        self.stops_left = policy.stops
+
+    # -- steps -----------------------------------------------------------------------
+
+    def run(self) -> Plan:
+        leftovers: list[Entry] = []
+        for entry in self.entries:
+            self._start_entry(entry)
+            if entry.waiting:
+                leftovers.append(entry)
+        self._lift_background()
+        if self.policy.background:
+            for entry in sorted(leftovers, key=lambda e: e.run_s):
+                if not entry.service:
+                    self._start_background(entry)
+        return self.plan
+
+    def _start_entry(self, entry: Entry) -> None:
+        blocked_by_head = bool(self.reserved) and not self.policy.backfill
+        while entry.waiting and entry.team_slots > 0 and self._team_allows(entry):
+            host = None if blocked_by_head else self._best_host(entry)
+            if host is None:
+                break
+            self._start(entry, host, Tier.FOREGROUND)
+        if not entry.waiting or entry.team_slots <= 0 or not self._team_allows(entry):
+            return  # a team at its limit waits for itself, not for room
+        self._hold_room(entry)
+
+    def _hold_room(self, entry: Entry) -> None:
+        """Reserve for the head, and clear room for it where the rules of preemption allow."""
+        shadow, host = self._shadow(entry)
+        if (
+            len(self.reserved) < self.policy.reservations
+            and not entry.service
+            and host is not None
+        ):
+            hold = Reservation(entry.job, host.id, entry.need, shadow)
+            self.plan.reservations.append(hold)
+            self.reserved[host.id] = hold
+            # The background on that machine makes way as soon as that is all it takes.
+            self._evict_background(entry, host)
+        if self.policy.preemption and shadow > entry.patience_s:
+            for _ in range(len(entry.waiting)):
+                if self.stops_left <= 0 or not self._preempt(entry):
+                    break
+
+    def _start_background(self, entry: Entry) -> None:
+        while entry.waiting and entry.team_slots > 0 and self._team_allows(entry):
+            host = self._best_host(entry, background=True)
+            if host is None:
+                return
+            self._start(entry, host, Tier.BACKGROUND)
+
+    def _lift_background(self) -> None:
+        """Background runs that no reservation needs become foreground where they are."""
+        moves = self.policy.moves
+        for host in self.hosts:
+            hold = self.reserved.get(host.id)
+            for run in host.runs:
+                if run.tier is not Tier.BACKGROUND or run.stopping:
+                    continue
+                if not self.policy.lifting:
+                    continue
+                if (
+                    hold is None
+                    or run.ends_s <= hold.shadow_s
+                    or self._extra(host, hold).holds(run.need)
+                ):
+                    run.tier = Tier.FOREGROUND
+                    self.plan.lifts.append(run.id)
+                elif run.saves and moves > 0 and self._free_elsewhere(host, run):
+                    moves -= 1
+                    run.stopping = True
+                    self.plan.stops.append(Stop(run.id, host.id, True, "move to foreground"))
+
+    # -- placing ---------------------------------------------------------------------
+
+    def _best_host(self, entry: Entry, background: bool = False) -> HostState | None:
+        best: HostState | None = None
+        best_cost: tuple[float, float] = (NEVER, NEVER)
+        for host in self.hosts:
+            if host.ready_s > 0 or not self._fits_now(entry, host):
+                continue
+            if (
+                (host.id in self.reserved)
+                and not background
+                and not self._backfills(entry, host)
+            ):
+                continue
+            fetch = 0.0 if entry.image in host.images else entry.image_gb / host.fetch_gb_per_s
+            left = host.free.cpus - entry.need.cpus
+            cost = (fetch + SCARCITY_COST_S * host.scarcity + host.penalty_s, left)
+            if cost < best_cost:
+                best, best_cost = host, cost
+        return best
+
+    def _fits_now(self, entry: Entry, host: HostState) -> bool:
+        free = host.free
+        claimed = self.claimed.get(host.id)
+        if claimed is not None:
+            free = free.minus(claimed)
+        return free.holds(entry.need) and self._suits(entry, host)
+
+    @staticmethod
+    def _suits(entry: Entry, host: HostState) -> bool:
+        if not entry.allowed(host):
+            return False
+        if entry.one_zone and entry.zones and host.zone not in entry.zones:
+            return False
+        limit = entry.zone_limit
+        return limit is None or entry.zones.get(host.zone, 0) < limit
+
+    def _backfills(self, entry: Entry, host: HostState) -> bool:
+        """It ends by the shadow time, or fits the extra room."""
+        hold = self.reserved[host.id]
+        if hold.job == entry.job:
+            return True
+        fetch = 0.0 if entry.image in host.images else entry.image_gb / host.fetch_gb_per_s
+        if entry.run_s + fetch <= hold.shadow_s:
+            return True
+        return self._extra(host, hold).holds(entry.need)
+
+    @staticmethod
+    def _extra(host: HostState, hold: Reservation) -> Room:
+        """What is left at the shadow time once the head has its room."""
+        room = host.total.minus(hold.need)
+        for run in host.runs:
+            if run.tier is Tier.FOREGROUND and run.ends_s > hold.shadow_s:
+                room = room.minus(run.need)
+        return room
+
+    def _start(self, entry: Entry, host: HostState, tier: Tier) -> None:
+        task = TaskId(entry.job, entry.waiting.pop(0))
+        self.plan.starts.append(Start(task, host.id, tier))
+        fetch = 0.0 if entry.image in host.images else entry.image_gb / host.fetch_gb_per_s
+        host.free = host.free.minus(entry.need)
+        host.images |= {entry.image}
+        host.runs.append(
+            RunState(
+                AttemptId(task, PLANNED),
+                entry.need,
+                entry.run_s + fetch,
+                0.0,
+                tier,
+                entry.rank,
+                entry.team,
+            )
+        )
+        entry.zones[host.zone] = entry.zones.get(host.zone, 0) + 1
+        entry.team_slots -= 1
+        room = self.team_room.get(entry.team)
+        if room is not None:
+            self.team_room[entry.team] = room.minus(entry.need)
+
+    def _team_allows(self, entry: Entry) -> bool:
+        room = self.team_room.get(entry.team)
+        return room is None or room.holds(entry.need)
+
+    # -- reserving ---------------------------------------------------------------------
+
+    def _shadow(self, entry: Entry) -> tuple[float, HostState | None]:
+        """When and where the entry fits first, if the foreground ends as estimated."""
+        best: HostState | None = None
+        best_at = NEVER
+        held = self.held.get(entry.job)
+        for host in self.hosts:
+            if host.id in self.reserved or not self._suits(entry, host):
+                continue
+            at = self._fits_at(entry.need, host)
+            if held is not None and held.host == host.id:
+                # An overrunning estimate alone must not send the reservation round the
+                # fleet: each new place would start the wait again.
+                at -= STICKINESS_S
+            if at < best_at:
+                best, best_at = host, at
+        return max(best_at, 0.0), best
+
+    @staticmethod
+    def _fits_at(need: Room, host: HostState) -> float:
+        if not host.total.holds(need):
+            return NEVER
+        free = host.total
+        foreground = []
+        for run in host.runs:
+            if run.tier is Tier.FOREGROUND or run.stopping:
+                free = free.minus(run.need)
+                foreground.append(run)
+        if free.holds(need):
+            return max(host.ready_s, 0.5)
+        for run in sorted(foreground, key=lambda r: r.ends_s):
+            free = free.plus(run.need)
+            if free.holds(need):
+                return max(host.ready_s, run.ends_s)
+        return NEVER
+
+    def _evict_background(self, entry: Entry, host: HostState) -> None:
+        free = host.free
+        victims = []
+        for run in sorted(host.runs, key=lambda r: r.ran_s):
+            if free.holds(entry.need):
+                break
+            if run.stopping:
+                free = free.plus(run.need)
+            elif run.tier is Tier.BACKGROUND:
+                free = free.plus(run.need)
+                victims.append(run)
+        if free.holds(entry.need):
+            for run in victims:
+                self._stop(host, run, f"room reserved for {entry.job}")
+
+    # -- preempting --------------------------------------------------------------------
+
+    def _preempt(self, entry: Entry) -> bool:
+        """Clear room for one task with the least work lost; true if room is on its way."""
+        best: tuple[float, HostState, list[RunState]] | None = None
+        for host in self.hosts:
+            if host.ready_s > 0 or not host.total.holds(entry.need):
+                continue
+            if not self._suits(entry, host):
+                continue
+            free = host.free.minus(self.claimed.get(host.id, NO_ROOM))
+            for run in host.runs:
+                if run.stopping:
+                    free = free.plus(run.need)
+            victims: list[RunState] = []
+            loss = 0.0
+            candidates = [run for run in host.runs if _may_preempt(entry, run)]
+            for run in sorted(candidates, key=lambda r: 0.0 if r.saves else r.ran_s):
+                if free.holds(entry.need):
+                    break
+                free = free.plus(run.need)
+                victims.append(run)
+                loss += 1.0 if run.saves else run.ran_s * run.need.cpus
+            if free.holds(entry.need) and (best is None or loss < best[0]):
+                best = (loss, host, victims)
+        if best is None:
+            return False
+        _, host, victims = best
+        if len(victims) > self.stops_left:
+            return False
+        self.claimed[host.id] = self.claimed.get(host.id, NO_ROOM).plus(entry.need)
+        for run in victims:
+            self._stop(host, run, f"room for {entry.job}")
+        return True
+
+    def _stop(self, host: HostState, run: RunState, reason: str) -> None:
+        run.stopping = True
+        run.ends_s = 0.5
+        self.stops_left -= 1
+        self.plan.stops.append(Stop(run.id, host.id, run.saves, reason))
+
+    def _free_elsewhere(self, host: HostState, run: RunState) -> bool:
+        return any(
+            other.id != host.id
+            and other.ready_s <= 0
+            and other.id not in self.reserved
+            and other.free.holds(run.need)
+            for other in self.hosts
+        )
+
+
+def _may_preempt(entry: Entry, run: RunState) -> bool:
+    """Lower priority, or borrowed room that a team needs for its guarantee."""
+    if run.stopping or run.id.attempt == PLANNED:
+        return False
+    if run.rank < entry.rank:
+        return True
+    return entry.guaranteed and run.borrowed and run.team != entry.team
+
+
+def _list_order(entry: Entry) -> tuple[float, ...]:
+    return (-float(entry.rank), 0.0 if entry.guaranteed else 1.0, *entry.order)
+
+
+def plan(snapshot: Snapshot, policy: Policy) -> Plan:
+    """Decide what to start, stop and lift. The snapshot is used up."""
+    return _Walk(snapshot, policy).run()
--- /dev/null
+++ b/dunehold/coordination/sync.py
@@ -0,0 +1,119 @@
+"""Keeping the view current: a watch for news, and a batched read barrier for proofs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dunehold.bookkeeping import records
+from dunehold.bookkeeping.view import View
+from dunehold.protocol.codec import BadMessage
+from dunehold.protocol.state import Priority, StateClient, TooOld, Unavailable
+from dunehold.transport.http import NoResponse
+from dunehold.types import Duration, JobId, MonotonicTime
+
+log = logging.getLogger(__name__)
+
+WATCH_HOLD_S = 20.0
+TROUBLE = (Unavailable, NoResponse, BadMessage)
+
+
+@dataclass(slots=True)
+class Sync:
+    state: StateClient
+    view: View
+    on_change: Callable[[list[JobId]], None]
+    barrier_gap_s: Duration
+    watch_gap_s: Duration
+    proved_at: MonotonicTime = MonotonicTime(-1e9)  # when the last answered proof was sent
+    _waiting: asyncio.Future[None] | None = None
+    _pump_task: asyncio.Task[None] | None = None
+    _urgent: bool = False
+    _load_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    async def load(self) -> None:
+        async with self._load_lock:
+            if self.view.loaded:
+                return
+            sent = asyncio.get_running_loop().time()
+            entries, revision = await self.state.entries(records.PREFIX, Priority.LEADER)
+            self.view.load(entries, revision)
+            self.proved_at = MonotonicTime(sent)
+            self.on_change(list(self.view.jobs))
+            log.info("view loaded: %d jobs, revision %d", len(self.view.jobs), revision)
+
+    async def barrier(self, urgent: bool = False) -> None:
+        """Return once the view holds all that was durable when this was called.
+
+        Callers share one request, but never one that was sent before they asked: its
+        answer could be older than what their user was told by another node.
+        """
+        if self._waiting is None:
+            self._waiting = asyncio.get_running_loop().create_future()
+        future = self._waiting
+        self._urgent = self._urgent or urgent
+        if self._pump_task is None or self._pump_task.done():
+            self._pump_task = asyncio.create_task(self._pump())
+        await asyncio.shield(future)
+
+    async def _pump(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self._waiting is not None:
+            future, self._waiting = self._waiting, None
+            priority = Priority.LEASE if self._urgent else Priority.PROOF
+            self._urgent = False
+            sent = loop.time()
+            try:
+                await self._refresh(priority)
+            except Exception as error:
+                if not future.done():
+                    future.set_exception(
+                        error if isinstance(error, TROUBLE) else Unavailable(str(error))
+                    )
+                    future.exception()  # callers may have given up
+            else:
+                if not future.done():
+                    future.set_result(None)
+            spent = loop.time() - sent
+            if spent < self.barrier_gap_s and not self._urgent:
+                await asyncio.sleep(self.barrier_gap_s - spent)
+
+    async def _refresh(self, priority: int) -> None:
+        if not self.view.loaded:
+            await self.load()
+            return
+        await self.state.requests.take(priority)
+        sent = asyncio.get_running_loop().time()
+        try:
+            changes, revision = await self.state.changes(
+                records.PREFIX, self.view.applied, 0.0, priority, paid=True
+            )
+        except TooOld:
+            self.view.loaded = False
+            await self.load()
+            return
+        touched = self.view.apply(changes, revision)
+        self.proved_at = max(self.proved_at, MonotonicTime(sent))
+        if changes:
+            self.on_change(touched)
+
+    async def watch(self) -> None:
+        """Hear of changes as they come. Never a proof: an open watch waits in an outage."""
+        while True:
+            try:
+                if not self.view.loaded:
+                    await self.load()
+                changes, revision = await self.state.changes(
+                    records.PREFIX, self.view.applied, WATCH_HOLD_S, Priority.BULK
+                )
+                touched = self.view.apply(changes, revision)
+                if changes:
+                    self.on_change(touched)
+                await asyncio.sleep(self.watch_gap_s)
+            except TooOld:
+                self.view.loaded = False
+            except TROUBLE as error:
+                log.debug("watch: %s", error)
+                await asyncio.sleep(0.5)
--- /dev/null
+++ b/dunehold/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Wire formats, one module per counterpart. The only place that knows wire names."""
--- /dev/null
+++ b/dunehold/protocol/cloud.py
@@ -0,0 +1,146 @@
+"""The cloud's API: machine types, renting, returning, listing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from dunehold.protocol import codec
+from dunehold.protocol.codec import BadMessage
+from dunehold.transport.budget import Budget
+from dunehold.transport.http import HttpClient
+from dunehold.types import Duration, HostId, RentalId, Room, TypeName, Zone
+
+MAX_RENT = 50
+MAX_DELETE = 100
+MAX_LIST = 500
+TIMEOUT_S = 10.0
+
+
+class CloudTrouble(Exception):
+    """The cloud did not do it, for now."""
+
+
+class NoCapacity(Exception):
+    """None of this type, zone and kind to be had."""
+
+
+class HostPhase(StrEnum):
+    BOOTING = "booting"
+    RUNNING = "running"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class MachineType:
+    name: TypeName
+    room: Room
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot_s: Duration
+    zones: tuple[Zone, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Rental:
+    """A request to rent, durable before it is made."""
+
+    id: RentalId
+    type: TypeName
+    zone: Zone
+    spot: bool
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    host: HostId
+    address: str
+    type: TypeName
+    zone: Zone
+    spot: bool
+    phase: HostPhase
+    age_s: Duration
+
+
+@dataclass(slots=True)
+class CloudClient:
+    client: HttpClient
+    budget: Budget
+
+    async def _call(self, method: str, target: str, body: bytes | None, priority: int) -> bytes:
+        await self.budget.take(priority)
+        status, data = await self.client.request(method, target, body, TIMEOUT_S)
+        if status == 200:
+            return data
+        if status == 503:
+            try:
+                error = codec.load_object(data).get("error")
+            except BadMessage:
+                error = None
+            if error == "no capacity":
+                raise NoCapacity
+        raise CloudTrouble(f"{target}: status {status}")
+
+    async def machine_types(self) -> dict[TypeName, MachineType]:
+        row = codec.load_object(await self._call("GET", "/flavors", None, 1))
+        types = {}
+        for item in codec.rows(row, "flavours"):
+            name = TypeName(codec.text(item, "label"))
+            gpus = codec.opt_amount(item, "gpus") or 0.0
+            zones = item.get("halls")
+            if not isinstance(zones, list):
+                raise BadMessage("halls must be a list")
+            types[name] = MachineType(
+                name,
+                Room(codec.amount(item, "vcpus"), gpus, codec.amount(item, "memory_gb")),
+                codec.opt_amount(item, "cache_gb") or 0.0,
+                max(codec.opt_amount(item, "fetch_gb_per_s") or 1.0, 0.001),
+                codec.opt_amount(item, "price") or 0.0,
+                codec.opt_amount(item, "spot_price") or 0.0,
+                Duration(codec.opt_amount(item, "boot_s") or 0.0),
+                tuple(Zone(str(zone)) for zone in zones),
+            )
+        return types
+
+    async def rent(self, rental: Rental) -> list[HostId]:
+        body = {
+            "rental": rental.id,
+            "flavour": rental.type,
+            "hall": rental.zone,
+            "loaner": rental.spot,
+            "number": rental.number,
+        }
+        data = await self._call("POST", "/hosts", codec.dump(body), 2)
+        hosts = codec.load_object(data).get("hosts")
+        if not isinstance(hosts, list) or not all(isinstance(h, str) for h in hosts):
+            raise BadMessage("hosts must be a list of names")
+        return [HostId(host) for host in hosts]
+
+    async def delete(self, hosts: list[HostId]) -> None:
+        await self._call("POST", "/hosts/delete", codec.dump({"hosts": hosts}), 0)
+
+    async def machines(self) -> list[Listed]:
+        found: list[Listed] = []
+        after = ""
+        while True:
+            target = f"/hosts?most={MAX_LIST}" + (f"&after={after}" if after else "")
+            row = codec.load_object(await self._call("GET", target, None, 3))
+            items = codec.rows(row, "hosts")
+            for item in items:
+                found.append(
+                    Listed(
+                        HostId(codec.text(item, "uid")),
+                        str(item.get("address") or ""),
+                        TypeName(codec.text(item, "flavour")),
+                        Zone(codec.text(item, "hall")),
+                        codec.flag(item, "loaner", False),
+                        HostPhase(codec.text(item, "phase")),
+                        Duration(codec.opt_amount(item, "held_s") or 0.0),
+                    )
+                )
+            if not row.get("more") or not items:
+                return found
+            after = found[-1].host
--- /dev/null
+++ b/dunehold/protocol/state.py
@@ -0,0 +1,199 @@
+"""The state service: keys, transactions, leases, changes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from dunehold.protocol import codec
+from dunehold.protocol.codec import BadMessage
+from dunehold.transport.budget import Budget
+from dunehold.transport.http import HttpClient, NoResponse
+from dunehold.types import Duration, LeaseId, Revision
+
+MAX_TXN_BYTES = 60 * 1024
+ABSENT = Revision(0)
+
+
+class Entry(NamedTuple):
+    key: str
+    value: Any
+    version: Revision
+
+
+class Change(NamedTuple):
+    """A put, or a delete when ``deleted``."""
+
+    key: str
+    value: Any
+    version: Revision
+    deleted: bool
+
+
+class Unavailable(Exception):
+    """Refused: it was not executed."""
+
+
+class LeaseGone(Exception):
+    """The lease has ended."""
+
+
+class TooOld(Exception):
+    """The changes asked for are no longer kept."""
+
+
+@dataclass(slots=True)
+class Txn:
+    """Conditions and writes that take effect together or not at all."""
+
+    guards: dict[str, Revision] = field(default_factory=dict)
+    puts: dict[str, Any] = field(default_factory=dict)
+    deletes: set[str] = field(default_factory=set)
+    lease: LeaseId | None = None
+    leased_key: str | None = None
+
+    @property
+    def size(self) -> int:
+        return len(self.puts) + len(self.deletes)
+
+    def encode(self) -> bytes:
+        writes: list[dict[str, Any]] = []
+        for key, value in self.puts.items():
+            row: dict[str, Any] = {"put": key, "v": value}
+            if key == self.leased_key:
+                row["grant"] = self.lease
+            writes.append(row)
+        writes.extend({"drop": key} for key in self.deletes)
+        guards = [{"path": key, "stamp": stamp} for key, stamp in self.guards.items()]
+        return codec.dump({"guards": guards, "writes": writes})
+
+
+class TxnResult(NamedTuple):
+    """``failed`` holds the keys whose condition did not hold."""
+
+    revision: Revision
+    failed: tuple[str, ...]
+
+    @property
+    def ok(self) -> bool:
+        return not self.failed
+
+
+class Priority:
+    """Who goes first when the budget is short: the leader's lease, then proofs."""
+
+    LEASE = 0
+    PROOF = 1
+    LEADER = 2
+    USER = 3
+    BULK = 4
+
+
+@dataclass(slots=True)
+class StateClient:
+    client: HttpClient
+    watch_client: HttpClient
+    requests: Budget
+    writes: Budget
+    timeout_s: float = 1.5
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes | None,
+        priority: int,
+        timeout_s: float | None = None,
+        client: HttpClient | None = None,
+        paid: bool = False,
+    ) -> tuple[int, dict[str, Any]]:
+        if not paid:
+            await self.requests.take(priority)
+        chosen = client or self.client
+        status, data = await chosen.request(method, target, body, timeout_s or self.timeout_s)
+        if status in (429, 503):
+            raise Unavailable(f"{status}")
+        try:
+            return status, codec.load_object(data) if data else {}
+        except BadMessage as error:
+            raise NoResponse(str(error)) from None
+
+    async def get(self, key: str, priority: int) -> Entry | None:
+        status, row = await self._call("GET", f"/store/{key}", None, priority)
+        if status == 404:
+            return None
+        if status != 200:
+            raise NoResponse(f"status {status}")
+        return Entry(codec.text(row, "path"), row.get("v"), Revision(codec.count(row, "stamp")))
+
+    async def entries(self, prefix: str, priority: int) -> tuple[list[Entry], Revision]:
+        """All keys below ``prefix``; read changes after the revision to catch up."""
+        found: list[Entry] = []
+        revision: Revision | None = None
+        after = ""
+        while True:
+            target = f"/store?starts={prefix}&most=1000" + (f"&after={after}" if after else "")
+            status, row = await self._call("GET", target, None, priority, 5.0)
+            if status != 200:
+                raise NoResponse(f"status {status}")
+            if revision is None:
+                revision = Revision(codec.count(row, "epoch"))
+            items = codec.rows(row, "entries")
+            for item in items:
+                version = Revision(codec.count(item, "stamp"))
+                found.append(Entry(codec.text(item, "path"), item.get("v"), version))
+            if not row.get("more") or not items:
+                return found, revision
+            after = found[-1].key
+
+    async def txn(self, txn: Txn, priority: int) -> TxnResult:
+        """NoResponse: it may have been applied, or may yet be applied later."""
+        if txn.size:
+            await self.writes.take(priority, txn.size)
+        status, row = await self._call("POST", "/txn", txn.encode(), priority)
+        if status == 200:
+            return TxnResult(Revision(codec.count(row, "epoch")), ())
+        if status == 409:
+            failed = row.get("failed")
+            keys = tuple(str(key) for key in failed) if isinstance(failed, list) else ("?",)
+            return TxnResult(Revision(codec.count(row, "epoch")), keys or ("?",))
+        if status == 400 and row.get("error") == "no such lease":
+            raise LeaseGone
+        raise Unavailable(f"txn: status {status} {row.get('error')}")
+
+    async def grant(self, life: Duration, priority: int) -> LeaseId:
+        body = codec.dump({"life_ms": int(life * 1000)})
+        status, row = await self._call("POST", "/leases", body, priority)
+        if status != 200:
+            raise Unavailable(f"lease: status {status}")
+        return LeaseId(codec.count(row, "grant"))
+
+    async def extend(self, lease: LeaseId) -> None:
+        status, _ = await self._call("POST", f"/leases/{lease}/extend", b"{}", Priority.LEASE)
+        if status == 404:
+            raise LeaseGone
+        if status != 200:
+            raise Unavailable(f"extend: status {status}")
+
+    async def drop_lease(self, lease: LeaseId) -> None:
+        await self._call("DELETE", f"/leases/{lease}", None, Priority.LEADER)
+
+    async def changes(
+        self, prefix: str, after: Revision, hold_s: float, priority: int, paid: bool = False
+    ) -> tuple[list[Change], Revision]:
+        target = f"/changes?starts={prefix}&after={after}&hold_ms={int(hold_s * 1000)}"
+        client = self.watch_client if hold_s else self.client
+        wait = hold_s + 5.0 if hold_s else self.timeout_s
+        status, row = await self._call("GET", target, None, priority, wait, client, paid)
+        if status == 410:
+            raise TooOld
+        if status != 200:
+            raise NoResponse(f"status {status}")
+        found = []
+        for item in codec.rows(row, "news"):
+            version = Revision(codec.count(item, "stamp"))
+            if "drop" in item:
+                found.append(Change(codec.text(item, "drop"), None, version, True))
+            else:
+                found.append(Change(codec.text(item, "put"), item.get("v"), version, False))
+        return found, Revision(codec.count(row, "epoch"))
--- /dev/null
+++ b/dunehold/transport/budget.py
@@ -0,0 +1,62 @@
+"""A token bucket whose waiters are served by priority."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from dataclasses import dataclass, field
+
+from dunehold.types import MonotonicTime
+
+
+@dataclass(slots=True)
+class Budget:
+    """``rate`` per second with a burst of ``burst``; lower ``priority`` goes first."""
+
+    rate: float
+    burst: float
+    _level: float = 0.0
+    _filled_at: MonotonicTime = MonotonicTime(-1.0)
+    _queue: list[tuple[int, int, float, asyncio.Future[None]]] = field(default_factory=list)
+    _count: int = 0
+    _timer: asyncio.TimerHandle | None = None
+
+    async def take(self, priority: int, amount: float = 1.0) -> None:
+        amount = min(amount, self.burst)
+        self._fill()
+        if not self._queue and self._level >= amount:
+            self._level -= amount
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._count += 1
+        heapq.heappush(self._queue, (priority, self._count, amount, future))
+        self._serve()
+        await future
+
+    def _fill(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._filled_at < 0:
+            self._level = self.burst
+        else:
+            self._level = min(self.burst, self._level + (now - self._filled_at) * self.rate)
+        self._filled_at = MonotonicTime(now)
+
+    def _serve(self) -> None:
+        self._fill()
+        while self._queue:
+            _, _, amount, future = self._queue[0]
+            if future.done():
+                heapq.heappop(self._queue)
+                continue
+            if self._level < amount:
+                break
+            heapq.heappop(self._queue)
+            self._level -= amount
+            future.set_result(None)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._queue:
+            delay = (self._queue[0][2] - self._level) / self.rate
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(delay, 0.002), self._serve)
--- /dev/null
+++ b/dunehold/transport/http.py
@@ -0,0 +1,246 @@
+"""HTTP/1.1 over asyncio streams, parsed by h11: a server and a pooled client."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+
+log = logging.getLogger(__name__)
+
+MAX_BODY = 64 * 1024
+MAX_HEADER = 16 * 1024
+READ_CHUNK = 64 * 1024
+REASONS = {200: b"OK", 201: b"Created", 421: b"Misdirected Request", 422: b"Unprocessable"}
+
+
+class Request(NamedTuple):
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+
+
+class Response(NamedTuple):
+    status: int
+    body: bytes = b"{}"
+    retry_after: int | None = None
+
+
+class NoResponse(Exception):
+    """No answer came: the request may have been carried out, now or later."""
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+@dataclass(slots=True)
+class HttpServer:
+    """Serves one address. ``max_connections`` bounds the sockets that it may hold."""
+
+    handler: Handler
+    max_connections: int
+    idle_s: float = 90.0
+    _open: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self, host: str, port: int) -> asyncio.Server:
+        return await asyncio.start_server(
+            self._serve, host, port, limit=READ_CHUNK, backlog=512, reuse_address=True
+        )
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # A flood of connections must not take the sockets that other purposes need.
+        if len(self._open) >= self.max_connections:
+            writer.transport.abort()
+            return
+        self._open.add(writer)
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER)
+        try:
+            while await self._exchange(conn, reader, writer):
+                conn.start_next_cycle()
+        except (OSError, TimeoutError, h11.RemoteProtocolError, asyncio.IncompleteReadError):
+            pass
+        except Exception:
+            # Whatever a peer sends, it must not end the process.
+            log.exception("connection handler failed")
+        finally:
+            self._open.discard(writer)
+            writer.close()
+
+    async def _exchange(
+        self, conn: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """One request and its response; true while the connection may be used again."""
+        try:
+            request = await self._read(conn, reader)
+        except h11.RemoteProtocolError as error:
+            if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                status = error.error_status_hint or 400
+                await self._send(conn, writer, Response(status), close=True)
+            return False
+        if request is None:
+            return False
+        if isinstance(request, Response):
+            await self._send(conn, writer, request, close=True)
+            return False
+        try:
+            response = await self.handler(request)
+        except Exception:
+            log.exception("request %s %s failed", request.method, request.path)
+            response = Response(503, retry_after=1)
+        await self._send(conn, writer, response, close=False)
+        return conn.our_state is h11.DONE and conn.their_state is h11.DONE
+
+    async def _read(
+        self, conn: h11.Connection, reader: asyncio.StreamReader
+    ) -> Request | Response | None:
+        head: h11.Request | None = None
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                async with asyncio.timeout(self.idle_s):
+                    conn.receive_data(await reader.read(READ_CHUNK))
+            elif isinstance(event, h11.Request):
+                head = event
+                if conn.they_are_waiting_for_100_continue:
+                    return Response(417)
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MAX_BODY:
+                    return Response(413)
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                assert head is not None
+                url = urlsplit(head.target.decode("latin-1"))
+                query = dict(parse_qsl(url.query)) if url.query else {}
+                method = head.method.decode("ascii", "replace")
+                return Request(method, unquote(url.path), query, b"".join(parts))
+            else:
+                return None
+
+    async def _send(
+        self,
+        conn: h11.Connection,
+        writer: asyncio.StreamWriter,
+        response: Response,
+        close: bool,
+    ) -> None:
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(response.body))),
+        ]
+        if response.retry_after is not None:
+            headers.append(("Retry-After", str(response.retry_after)))
+        if close:
+            headers.append(("Connection", "close"))
+        head = h11.Response(
+            status_code=response.status,
+            headers=headers,
+            reason=REASONS.get(response.status, b""),
+        )
+        chunks = [
+            conn.send(head),
+            conn.send(h11.Data(data=response.body)),
+            conn.send(h11.EndOfMessage()),
+        ]
+        writer.write(b"".join(chunk for chunk in chunks if chunk))
+        await writer.drain()
+
+
+class _Link(NamedTuple):
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    conn: h11.Connection
+
+
+@dataclass(slots=True)
+class HttpClient:
+    """Requests to one address over kept-open connections, at most ``max_links`` at once."""
+
+    host: str
+    port: int
+    max_links: int = 8
+    _idle: deque[_Link] = field(default_factory=deque)
+    _slots: asyncio.Semaphore | None = None
+
+    async def request(
+        self, method: str, target: str, body: bytes | None, timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Status and body, or NoResponse when none came in time."""
+        if self._slots is None:
+            self._slots = asyncio.Semaphore(self.max_links)
+        link: _Link | None = None
+        try:
+            async with asyncio.timeout(timeout_s), self._slots:
+                link = self._take() or await self._connect()
+                answer = await self._exchange(link, method, target, body)
+        except (OSError, TimeoutError, h11.ProtocolError, EOFError) as error:
+            self._drop(link)
+            raise NoResponse(f"{type(error).__name__} {error}".strip()) from None
+        except BaseException:
+            self._drop(link)
+            raise
+        if link.conn.our_state is h11.DONE and link.conn.their_state is h11.DONE:
+            link.conn.start_next_cycle()
+            self._idle.append(link)
+        else:
+            self._drop(link)
+        return answer
+
+    def close(self) -> None:
+        while self._idle:
+            self._drop(self._idle.pop())
+
+    def _take(self) -> _Link | None:
+        while self._idle:
+            link = self._idle.pop()
+            if not link.reader.at_eof() and not link.writer.is_closing():
+                return link
+            self._drop(link)
+        return None
+
+    async def _connect(self) -> _Link:
+        reader, writer = await asyncio.open_connection(self.host, self.port, limit=READ_CHUNK)
+        return _Link(reader, writer, h11.Connection(h11.CLIENT))
+
+    @staticmethod
+    def _drop(link: _Link | None) -> None:
+        if link is not None:
+            link.writer.transport.abort()
+
+    async def _exchange(
+        self, link: _Link, method: str, target: str, body: bytes | None
+    ) -> tuple[int, bytes]:
+        headers = [("Host", f"{self.host}:{self.port}")]
+        if body is not None:
+            headers.append(("Content-Type", "application/json"))
+            headers.append(("Content-Length", str(len(body))))
+        conn = link.conn
+        out = conn.send(h11.Request(method=method, target=target, headers=headers)) or b""
+        if body is not None:
+            out += conn.send(h11.Data(data=body)) or b""
+        out += conn.send(h11.EndOfMessage()) or b""
+        link.writer.write(out)
+        await link.writer.drain()
+        status = 0
+        parts: list[bytes] = []
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.receive_data(await link.reader.read(READ_CHUNK))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return status, b"".join(parts)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise EOFError("closed")
--- /dev/null
+++ b/dunehold/types.py
@@ -0,0 +1,138 @@
+"""Small types of their own for ids, versions, times and amounts."""
+
+from __future__ import annotations
+
+from enum import IntEnum, StrEnum
+from typing import NamedTuple, NewType
+
+JobId = NewType("JobId", str)
+HostId = NewType("HostId", str)
+NodeId = NewType("NodeId", str)
+RentalId = NewType("RentalId", str)
+Team = NewType("Team", str)
+Zone = NewType("Zone", str)
+TypeName = NewType("TypeName", str)
+Image = NewType("Image", str)
+
+Token = NewType("Token", int)  # who may command the workers; higher is newer
+Attempt = NewType("Attempt", int)  # one try to run a task; never reused
+Session = NewType("Session", int)  # one life of a worker's lease
+Sequence = NewType("Sequence", int)  # order of a worker's messages in a session
+Revision = NewType("Revision", int)  # version of a key or of the whole state service
+LeaseId = NewType("LeaseId", int)
+
+MonotonicTime = NewType("MonotonicTime", float)  # this process's steady clock, seconds
+WallTime = NewType("WallTime", float)  # time of day, seconds, within the clock error
+Duration = NewType("Duration", float)  # seconds
+
+
+class TaskId(NamedTuple):
+    """Task ``index`` of ``job``."""
+
+    job: JobId
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.job}/{self.number}"
+
+
+class AttemptId(NamedTuple):
+    """One try of one task."""
+
+    task: TaskId
+    attempt: Attempt
+
+    def __str__(self) -> str:
+        return f"{self.task}#{self.attempt}"
+
+
+class Room(NamedTuple):
+    """Amounts of a machine: what a task takes, or what is left."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+    def plus(self, other: Room) -> Room:
+        return Room(
+            self.cpus + other.cpus, self.gpus + other.gpus, self.memory_gb + other.memory_gb
+        )
+
+    def minus(self, other: Room) -> Room:
+        return Room(
+            self.cpus - other.cpus, self.gpus - other.gpus, self.memory_gb - other.memory_gb
+        )
+
+    def holds(self, need: Room) -> bool:
+        return (
+            need.cpus <= self.cpus + EPSILON
+            and need.gpus <= self.gpus + EPSILON
+            and need.memory_gb <= self.memory_gb + EPSILON
+        )
+
+    def copies(self, need: Room) -> int:
+        """How many times ``need`` fits."""
+        fits = [
+            int((have + EPSILON) / want)
+            for have, want in zip(self, need, strict=True)
+            if want > EPSILON
+        ]
+        return max(0, min(fits)) if fits else MANY
+
+
+EPSILON = 1e-6
+MANY = 1_000_000
+NO_ROOM = Room(0.0, 0.0, 0.0)
+
+
+class Rank(IntEnum):
+    """Priority; higher goes first."""
+
+    LOW = 0
+    NORMAL = 1
+    HIGH = 2
+    PRODUCTION = 3
+
+
+class Kind(StrEnum):
+    ARRAY = "array"
+    SERVICE = "service"
+
+
+class JobPhase(StrEnum):
+    """What is durable about a job; whether it runs just now is not."""
+
+    ACTIVE = "active"
+    CANCELLED = "cancelled"
+    DONE = "done"
+
+    @property
+    def final(self) -> bool:
+        return self is not JobPhase.ACTIVE
+
+
+class TaskPhase(StrEnum):
+    FETCHING = "fetching"
+    WAITING = "waiting"
+    RUNNING = "running"
+    SAVING = "saving"
+    EXITED = "exited"
+
+
+class Why(StrEnum):
+    """Why a task exited."""
+
+    DONE = "done"
+    STOPPED = "stopped"
+    ERROR = "error"
+    NO_ROOM = "no_room"
+    BUSY = "busy"
+    UNKNOWN = "unknown"
+    OTHER = "other"
+
+
+class Tier(IntEnum):
+    """MEASY's tiers: background work runs in room promised to the reservation."""
+
+    FOREGROUND = 0
+    BACKGROUND = 1
--- /dev/null
+++ b/run.py
@@ -0,0 +1,12 @@
+"""Start one controller: ``python3 run.py --config FILE`` is ``dunehold serve``."""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent
+sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
+
+from dunehold.cli import main  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(main(["serve", *sys.argv[1:]]))
