--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -38,7 +38,7 @@
 
 def test_job_survives_its_record() -> None:
     spec = users.decode_job(orjson.dumps(JOB))
-    assert users.decode_job_object(users.encode_job(spec)) == spec
+    assert users.decode_job(orjson.dumps(users.encode_job(spec))) == spec
 
 
 @pytest.mark.parametrize(
