--- a/dunehold/coordination/intake.py
+++ b/dunehold/coordination/intake.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -77,6 +76,7 @@
     sync: Sync
     types: Callable[[], dict[TypeName, MachineType] | None]
     running: Callable[[JobId], int]
+    wall: Callable[[], float]
     _pending: dict[JobId, _Submission] = field(default_factory=dict)
     _flush_task: asyncio.Task[None] | None = None
 
@@ -148,7 +148,7 @@
         entry = self._pending.get(spec.id)
         if entry is None:
             future: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
-            entry = _Submission(spec, WallTime(round(time.time(), 3)), future)
+            entry = _Submission(spec, WallTime(round(self.wall(), 3)), future)
             self._pending[spec.id] = entry
             if self._flush_task is None or self._flush_task.done():
                 self._flush_task = asyncio.create_task(self._flush())
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -31,7 +30,7 @@
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.workers import Command, Report
 from dunehold.settings import Settings
-from dunehold.transport.http import HttpClient, NoResponse
+from dunehold.transport.http import Client, Connect, NoResponse
 from dunehold.types import (
     AttemptId,
     Duration,
@@ -55,6 +54,7 @@
 DIRECT_TIMEOUT_S = 2.0
 DIRECT_GAP_S = 0.02
 PROBE_GAP_S = 1.5
+WORKER_LINKS = 2
 ERROR_HOLD_S = 2.0
 MAX_ERROR_HOLD_S = 60.0
 BROKEN_JOB_HOSTS = 3
@@ -75,12 +75,14 @@
     may_feed: Callable[[], bool]
     deposed: Callable[[], None]
     estimates: Estimates
+    connect: Connect
+    wall: Callable[[], float]
     progress: dict[JobId, JobProgress] = field(default_factory=dict)
     held: list[Reservation] = field(default_factory=list)
     refused: dict[Offer, MonotonicTime] = field(default_factory=dict)
     renting: int = 0
     rental_count: int = 0
-    clients: dict[HostId, HttpClient] = field(default_factory=dict)
+    clients: dict[HostId, Client] = field(default_factory=dict)
     talking: set[HostId] = field(default_factory=set)
     listed: dict[HostId, Listed] = field(default_factory=dict)
     picture: Picture = field(init=False)
@@ -179,6 +181,7 @@
             host = self._unexpected(report)
         if host.address != report.address:
             host.address = report.address
+            self._drop_client(host.id)
             self.recorder.host(host.id)
         if report.session <= host.dead_session or (report.session, report.sequence) <= (
             host.session,
@@ -281,21 +284,21 @@
     def _plan_due(self) -> None:
         self._plan_timer = None
         try:
-            self.schedule()
+            self.schedule(due=True)
         except Exception:
             log.exception("placement failed")
 
-    def schedule(self) -> None:
+    def schedule(self, due: bool = False) -> None:
         """Place what waits, and hand the commands out."""
         now = self.now()
         if not self._dirty or not self.may_start():
             return
-        if now - self._planned_at < self.settings.operator.schedule_interval_s:
+        if not due and now - self._planned_at < self.settings.operator.schedule_interval_s:
             self.make_dirty()
             return
         self._dirty = False
         self._planned_at = now
-        snapshot = self.picture.snapshot(self.progress, now, WallTime(time.time()))
+        snapshot = self.picture.snapshot(self.progress, now, WallTime(self.wall()))
         snapshot.held = self.held
         decided = plan(snapshot, self._policy())
         self.held = decided.reservations
@@ -429,13 +432,13 @@
                 self._drop_client(host.id)
             await asyncio.sleep(PROBE_GAP_S)
 
-    def _client(self, host: Host) -> HttpClient:
+    def _client(self, host: Host) -> Client:
         client = self.clients.get(host.id)
-        name, _, port = host.address.rpartition(":")
-        if client is None or (client.host, str(client.port)) != (name, port):
+        if client is None:
+            name, _, port = host.address.rpartition(":")
             if not port.isdigit():
                 raise BadMessage(f"address {host.address!r}")
-            client = HttpClient(name, int(port), max_links=2)
+            client = self.connect(name, int(port), WORKER_LINKS)
             self.clients[host.id] = client
         return client
 
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -5,6 +5,8 @@
 import asyncio
 import logging
 import secrets
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping import records
@@ -21,11 +23,19 @@
 from dunehold.protocol.state import ABSENT, LeaseGone, Priority, StateClient, Txn
 from dunehold.settings import Settings
 from dunehold.transport.budget import Budget
-from dunehold.transport.http import HttpClient, HttpServer, NoResponse, Request, Response
+from dunehold.transport.http import (
+    Connect,
+    HttpClient,
+    HttpServer,
+    NoResponse,
+    Request,
+    Response,
+)
 from dunehold.types import Duration, JobId, LeaseId, MonotonicTime, Revision, Token, TypeName
 
 log = logging.getLogger(__name__)
 
+STATE_LINKS, WATCH_LINKS, CLOUD_LINKS = 16, 2, 4
 RESERVED_SOCKETS = 200  # for workers' addresses, the state service, the cloud and peers
 BARRIER_GAP_S = 0.08
 WATCH_GAP_S = 0.1
@@ -37,6 +47,8 @@
 @dataclass(slots=True)
 class Node:
     settings: Settings
+    connect: Connect = HttpClient
+    wall: Callable[[], float] = time.time
     view: View = field(default_factory=View)
     incarnation: str = field(default_factory=lambda: secrets.token_hex(8))
     types: dict[TypeName, MachineType] | None = None
@@ -55,15 +67,15 @@
         settings = self.settings
         share = RESERVE_SHARE / settings.node_count
         self.state = StateClient(
-            HttpClient(settings.state.host, settings.state.port, max_links=16),
-            HttpClient(settings.state.host, settings.state.port, max_links=2),
+            self.connect(settings.state.host, settings.state.port, STATE_LINKS),
+            self.connect(settings.state.host, settings.state.port, WATCH_LINKS),
             Budget(settings.state_rps * share, max(2.0, settings.state_rps * share)),
             Budget(
                 settings.state_write_rps * share,
                 max(float(settings.txn_ops), settings.state_write_rps * share),
             ),
         )
-        cloud = HttpClient(settings.cloud.host, settings.cloud.port, max_links=4)
+        cloud = self.connect(settings.cloud.host, settings.cloud.port, CLOUD_LINKS)
         self.cloud = CloudClient(cloud, Budget(settings.cloud_rps * 0.8, 2.0))
         self.sync = Sync(
             self.state,
@@ -73,7 +85,13 @@
             Duration(WATCH_GAP_S),
         )
         self.intake = Intake(
-            settings, self.state, self.view, self.sync, lambda: self.types, self._running
+            settings,
+            self.state,
+            self.view,
+            self.sync,
+            lambda: self.types,
+            self._running,
+            self.wall,
         )
 
     @property
@@ -98,6 +116,10 @@
             settings.listen.host,
             settings.listen.port,
         )
+        await self.act()
+
+    async def act(self) -> None:
+        """Everything but listening."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._forever(self.sync.watch))
             group.create_task(self._forever(self._fetch_types))
@@ -277,6 +299,8 @@
             self._may_feed,
             lambda: self._step_down("told so"),
             self.estimates,
+            self.connect,
+            self.wall,
         )
         log.info(
             "node %s leads with token %d: %d active jobs, %d machines on record",
--- a/dunehold/protocol/cloud.py
+++ b/dunehold/protocol/cloud.py
@@ -8,7 +8,7 @@
 from dunehold.protocol import codec
 from dunehold.protocol.codec import BadMessage
 from dunehold.transport.budget import Budget
-from dunehold.transport.http import HttpClient
+from dunehold.transport.http import Client
 from dunehold.types import Duration, HostId, RentalId, Room, TypeName, Zone
 
 MAX_RENT = 50
@@ -67,7 +67,7 @@
 
 @dataclass(slots=True)
 class CloudClient:
-    client: HttpClient
+    client: Client
     budget: Budget
 
     async def _call(self, method: str, target: str, body: bytes | None, priority: int) -> bytes:
--- a/dunehold/protocol/state.py
+++ b/dunehold/protocol/state.py
@@ -8,7 +8,7 @@
 from dunehold.protocol import codec
 from dunehold.protocol.codec import BadMessage
 from dunehold.transport.budget import Budget
-from dunehold.transport.http import HttpClient, NoResponse
+from dunehold.transport.http import Client, NoResponse
 from dunehold.types import Duration, LeaseId, Revision
 
 MAX_TXN_BYTES = 60 * 1024
@@ -91,8 +91,8 @@
 
 @dataclass(slots=True)
 class StateClient:
-    client: HttpClient
-    watch_client: HttpClient
+    client: Client
+    watch_client: Client
     requests: Budget
     writes: Budget
     timeout_s: float = 1.5
@@ -104,7 +104,7 @@
         body: bytes | None,
         priority: int,
         timeout_s: float | None = None,
-        client: HttpClient | None = None,
+        client: Client | None = None,
         paid: bool = False,
     ) -> tuple[int, dict[str, Any]]:
         if not paid:
--- a/dunehold/protocol/workers.py
+++ b/dunehold/protocol/workers.py
@@ -7,7 +7,7 @@
 
 from dunehold.protocol import codec
 from dunehold.protocol.codec import BadMessage
-from dunehold.transport.http import HttpClient
+from dunehold.transport.http import Client
 from dunehold.types import (
     Attempt,
     AttemptId,
@@ -142,7 +142,7 @@
 
 
 async def send_commands(
-    client: HttpClient,
+    client: Client,
     token: Token,
     session: Session,
     commands: list[Command],
@@ -156,7 +156,7 @@
     return status == 200, decode_report(data)
 
 
-async def get_status(client: HttpClient, timeout_s: float) -> Report:
+async def get_status(client: Client, timeout_s: float) -> Report:
     status, data = await client.request("GET", "/status", None, timeout_s)
     if status != 200:
         raise BadMessage(f"status {status}")
--- a/dunehold/transport/http.py
+++ b/dunehold/transport/http.py
@@ -7,7 +7,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
@@ -40,6 +40,19 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+class Client(Protocol):
+    """What the layers above need of a client; the tests bring one of their own."""
+
+    async def request(
+        self, method: str, target: str, body: bytes | None, timeout_s: float
+    ) -> tuple[int, bytes]: ...
+
+    def close(self) -> None: ...
+
+
+Connect = Callable[[str, int, int], Client]  # host, port, most requests at once
+
+
 @dataclass(slots=True)
 class HttpServer:
     """Serves one address. ``max_connections`` bounds the sockets that it may hold."""
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,157 @@
+"""Seeded random days: the rules hold under failures, single and combined."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from dunehold.bookkeeping.ledger import Ledger
+from dunehold.coordination.node import Node
+from tests.virtual import VirtualLoop
+from tests.world import ZONES, RuleBroken, World
+
+BUSY_S, END_S = 90.0, 240.0
+
+
+def play(
+    seed: int,
+    faults: Callable[[World], Awaitable[None]],
+    tamper: Callable[[Node], None] | None = None,
+) -> World:
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+
+    async def day() -> World:
+        world = World(seed, tamper)
+        await world.play(faults, BUSY_S, END_S)
+        return world
+
+    try:
+        return loop.run_until_complete(day())
+    finally:
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        loop.close()
+        asyncio.set_event_loop(None)
+        gc.collect()
+
+
+async def quiet(world: World) -> None:
+    pass
+
+
+async def crashes(world: World) -> None:
+    """One controller, the leader, all, and all one after the other."""
+    for _ in range(4):
+        await asyncio.sleep(world.rng.uniform(8.0, 22.0))
+        count = world.rng.choice([1, 1, 2, 3])
+        for node in world.rng.sample(world.nodes, count):
+            world.spawn(node.restart(world.rng.uniform(2.0, 6.0)))
+
+
+async def cuts(world: World) -> None:
+    for _ in range(4):
+        await asyncio.sleep(world.rng.uniform(6.0, 15.0))
+        mode = world.rng.choice(["hold", "reset"])
+        seconds = world.rng.uniform(5.0, 30.0)
+        if world.rng.random() < 0.5 and world.cloud.workers:
+            name = world.rng.choice(list(world.cloud.workers))
+            for node in world.nodes:
+                world.spawn(world.network.for_a_while(name, node.name, mode, seconds))
+                source = f"{node.name}#{node.life}"
+                world.spawn(world.network.for_a_while(name, source, mode, seconds))
+        else:
+            await world.network.for_a_while(*ZONES, mode, seconds)
+
+
+async def outages(world: World) -> None:
+    """Of all nodes, and of one alone."""
+    for _ in range(3):
+        await asyncio.sleep(world.rng.uniform(8.0, 20.0))
+        seconds = world.rng.uniform(3.0, 40.0)
+        if world.rng.random() < 0.5:
+            await world.state.outage(seconds)
+        else:
+            await world.state.refuse(world.rng.choice(world.nodes).name, seconds)
+
+
+async def machines(world: World) -> None:
+    """Machines hang, die, get sick, and spot ones are taken back in a wave."""
+    for _ in range(6):
+        await asyncio.sleep(world.rng.uniform(5.0, 15.0))
+        names = list(world.cloud.workers)
+        if not names:
+            continue
+        name = world.rng.choice(names)
+        worker = world.cloud.workers[name]
+        what = world.rng.choice(["hang", "die", "sick", "wave"])
+        if what == "hang":
+            worker.hung_until = world.now() + world.rng.uniform(3.0, 25.0)
+        elif what == "die":
+            world.cloud.remove(name, failed=True)
+        elif what == "sick":
+            worker.sick = True
+        else:
+            for other in names:
+                if world.cloud.workers[other].spot and world.rng.random() < 0.5:
+                    world.cloud.remove(other)
+
+
+async def everything(world: World) -> None:
+    for fault in (crashes, cuts, outages, machines):
+        world.spawn(fault(world))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_quiet_day_is_served(seed: int) -> None:
+    world = play(seed, quiet)
+    batch = [j["uid"] for j in world.jobs.values() if j["shape"] == "batch"]
+    over = [uid for uid in batch if world.told.get(uid) in ("done", "cancelled")]
+    assert len(over) >= 0.9 * len(batch)
+
+
+@pytest.mark.parametrize("seed", range(10, 14))
+@pytest.mark.parametrize("faults", [crashes, cuts, outages, machines])
+def test_rules_hold(faults: Callable[[World], Awaitable[None]], seed: int) -> None:
+    world = play(seed, faults)
+    assert world.checker.starts > 20
+
+
+@pytest.mark.parametrize("seed", range(30, 38))
+def test_rules_hold_when_all_fails_at_once(seed: int) -> None:
+    assert play(seed, everything).checker.starts > 5
+
+
+def test_checker_catches_a_ledger_that_forgets(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A ledger that takes silence for absence must break a rule, or the tests are blind."""
+
+    def gone_at_once(self: Ledger, host: object, now: float) -> bool:
+        fed_at = getattr(host, "fed_at", None)
+        return fed_at is not None and now > fed_at + 3.0
+
+    monkeypatch.setattr(Ledger, "_lease_over", gone_at_once)
+    with pytest.raises(RuleBroken, match="ran_twice|quota"):
+        for seed in range(10, 16):
+            play(seed, cuts)
+
+
+def test_checker_catches_a_ledger_without_limits(monkeypatch: pytest.MonkeyPatch) -> None:
+    from dunehold.coordination.picture import Picture
+
+    monkeypatch.setattr(Ledger, "team_allows", lambda *_: True)
+    build = Picture.snapshot
+
+    def unlimited(self: Picture, *arguments):  # type: ignore[no-untyped-def]
+        snapshot = build(self, *arguments)
+        snapshot.team_room.clear()
+        return snapshot
+
+    monkeypatch.setattr(Picture, "snapshot", unlimited)
+    with pytest.raises(RuleBroken, match="quota"):
+        for seed in range(10, 16):
+            play(seed, quiet)
