--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -51,6 +51,7 @@
 
 TICK_S = 0.5
 SCALE_S = 1.0
+LOG_S = 10.0
 DIRECT_TIMEOUT_S = 2.0
 DIRECT_GAP_S = 0.02
 PROBE_GAP_S = 1.5
@@ -449,8 +450,22 @@
 
     # -- time ----------------------------------------------------------------------------
 
+    def _log_fleet(self) -> None:
+        hosts = [h for h in self.ledger.hosts.values() if not h.fenced]
+        up = [h for h in hosts if h.known]
+        waiting = sum(len(p.waiting) * p.spec.need.cpus for p in self.progress.values())
+        log.info(
+            "fleet: %d of %d machines up, %g cpus, %g used, %g wanted by waiting tasks, %d jobs",
+            len(up),
+            len(hosts),
+            sum(h.room.cpus for h in up),
+            sum(h.used.cpus for h in up),
+            waiting,
+            len(self.progress),
+        )
+
     async def _tick(self) -> None:
-        scaled_at = 0.0
+        scaled_at = logged_at = 0.0
         while True:
             await asyncio.sleep(TICK_S)
             now = self.now()
@@ -463,6 +478,9 @@
             if now - scaled_at >= SCALE_S and self.may_start():
                 scaled_at = now
                 self._scale(now)
+            if now - logged_at >= LOG_S:
+                logged_at = now
+                self._log_fleet()
 
     def _look_after_hosts(self, now: MonotonicTime) -> None:
         doomed: list[HostId] = []
