--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -24,6 +24,7 @@
 
 NEVER = float("inf")
 STICKINESS_S = 5.0
+LONGEST_WAIT_S = 600.0  # stands for waits without an end in sight
 SCARCITY_COST_S = 30.0
 PLANNED = Attempt(0)  # stands for attempts that this very plan starts
 
@@ -83,7 +84,7 @@
             self._evict_background(entry, host)
         if self.policy.preemption and shadow > entry.patience_s:
             for _ in range(len(entry.waiting)):
-                if self.stops_left <= 0 or not self._preempt(entry):
+                if self.stops_left <= 0 or not self._preempt(entry, shadow):
                     break
 
     def _start_background(self, entry: Entry) -> None:
@@ -273,8 +274,12 @@
 
     # -- preempting --------------------------------------------------------------------
 
-    def _preempt(self, entry: Entry) -> bool:
-        """Clear room for one task with the least work lost; true if room is on its way."""
+    def _preempt(self, entry: Entry, shadow: float) -> bool:
+        """Clear room for one task with the least work lost; true if room is on its way.
+
+        Work is stopped only where less of it is lost than the stop spares in waiting.
+        """
+        worth = min(shadow, LONGEST_WAIT_S) * max(entry.need.cpus, 1.0)
         best: tuple[float, HostState, list[RunState]] | None = None
         for host in self.hosts:
             if host.ready_s > 0 or not host.total.holds(entry.need):
@@ -294,7 +299,9 @@
                 free = free.plus(run.need)
                 victims.append(run)
                 loss += 1.0 if run.saves else run.ran_s * run.need.cpus
-            if free.holds(entry.need) and (best is None or loss < best[0]):
+            if not free.holds(entry.need) or loss > worth:
+                continue
+            if best is None or loss < best[0]:
                 best = (loss, host, victims)
         if best is None:
             return False
