--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -15,9 +15,9 @@
   (sick-after-errors 2)       ; errors in a row that quarantine a machine
   ; -- fleet
   (spot-allowed 1)
-  (headroom-share 0.15)       ; kept beyond the most CPUs wanted lately
-  (demand-memory-s 90)        ; how long "lately" is
-  (idle-return-s 50)          ; idle this long before a machine may be returned
+  (headroom-share 0.1)        ; kept beyond the most CPUs wanted lately
+  (demand-memory-s 40)        ; how long "lately" is
+  (idle-return-s 20)          ; idle this long before a machine may be returned
   (silent-return-s 45)        ; a machine that says nothing this long is returned
   (boot-patience 4)           ; in boot times of its type
   (capacity-retry-s 20))      ; after a refusal, before the same kind is asked for again
--- a/dunehold/settings.py
+++ b/dunehold/settings.py
@@ -61,9 +61,9 @@
     leader_lease_s: float = 3.0
     leader_renew_s: float = 0.8
     schedule_interval_s: float = 0.1
-    headroom_share: float = 0.15
-    demand_memory_s: float = 90.0
-    idle_return_s: float = 50.0
+    headroom_share: float = 0.1
+    demand_memory_s: float = 40.0
+    idle_return_s: float = 20.0
     silent_return_s: float = 45.0
     boot_patience: float = 4.0
     capacity_retry_s: float = 20.0
