--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -223,20 +223,26 @@
     # -- reserving ---------------------------------------------------------------------
 
     def _shadow(self, entry: Entry) -> tuple[float, HostState | None]:
-        """When and where the entry fits first, if the foreground ends as estimated."""
+        """When the entry fits first, if the foreground ends as estimated, and where.
+
+        The place is None when that is on a machine promised to another head.
+        """
         best: HostState | None = None
         best_at = NEVER
         held = self.held.get(entry.job)
         for host in self.hosts:
-            if host.id in self.reserved or not self._suits(entry, host):
+            if not self._suits(entry, host):
                 continue
-            at = self._fits_at(entry.need, host)
+            hold = self.reserved.get(host.id)
+            # On a machine that is promised already it fits once both fit.
+            need = entry.need if hold is None else entry.need.plus(hold.need)
+            at = self._fits_at(need, host)
             if held is not None and held.host == host.id:
                 # An overrunning estimate alone must not send the reservation round the
                 # fleet: each new place would start the wait again.
                 at -= STICKINESS_S
             if at < best_at:
-                best, best_at = host, at
+                best, best_at = (host if hold is None else None), at
         return max(best_at, 0.0), best
 
     @staticmethod
@@ -290,6 +296,8 @@
             for run in host.runs:
                 if run.stopping:
                     free = free.plus(run.need)
+            if host.free.holds(entry.need):
+                continue  # it is held for the head, which goes first
             victims: list[RunState] = []
             loss = 0.0
             candidates = [run for run in host.runs if _may_preempt(entry, run)]
--- /dev/null
+++ b/tests/test_measy.py
@@ -0,0 +1,216 @@
+"""The walk against small worked examples, the paper's figures among them."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from dunehold.coordination.scheduler.measy import plan
+from dunehold.coordination.scheduler.model import (
+    Entry,
+    HostState,
+    Plan,
+    Policy,
+    RunState,
+    Snapshot,
+)
+from dunehold.types import (
+    Attempt,
+    AttemptId,
+    HostId,
+    Image,
+    JobId,
+    Rank,
+    Room,
+    TaskId,
+    Team,
+    Tier,
+    TypeName,
+    Zone,
+)
+
+TEAM = Team("blue")
+
+
+def cpus(number: float) -> Room:
+    return Room(number, 0.0, 0.0)
+
+
+def host(name: str, total: float, *runs: RunState, **more: float) -> HostState:
+    free = cpus(total)
+    for run in runs:
+        free = free.minus(run.need)
+    return HostState(
+        HostId(name), TypeName(f"t{total:g}"), Zone("a"), False, cpus(total), free,
+        frozenset({Image("i")}), 1.0, list(runs), **more,
+    )  # fmt: skip
+
+
+def run(
+    job: str, need: float, ends: float, tier: Tier = Tier.FOREGROUND, ran: float = 1.0
+) -> RunState:
+    task = AttemptId(TaskId(JobId(job), 0), Attempt(7))
+    return RunState(task, cpus(need), ends, ran, tier, Rank.NORMAL, TEAM)
+
+
+def entry(
+    job: str, need: float, run_s: float, at: float, tasks: int = 1, **more: object
+) -> Entry:
+    made = Entry(
+        JobId(job), TEAM, cpus(need), Rank.NORMAL, (at,), list(range(tasks)), run_s,
+        Image("i"), 0.0, lambda _: True,
+    )  # fmt: skip
+    for name, value in more.items():
+        setattr(made, name, value)
+    return made
+
+
+def decide(hosts: list[HostState], entries: list[Entry], **policy: object) -> Plan:
+    return plan(Snapshot(hosts, entries), Policy(**policy))  # type: ignore[arg-type]
+
+
+def started(made: Plan) -> dict[str, str]:
+    return {s.task.job: s.tier.name.lower() for s in made.starts}
+
+
+def test_figure_1_at_time_0() -> None:
+    """J1 fits; J2 is the head with a reservation; J3 and J4 end by its shadow time and are
+    backfilled; a longer one goes to the background, the shortest first."""
+    machine = host("p1-5", 5.0)
+    jobs = [
+        entry("j1", 2, 10, 1),
+        entry("j2", 4, 6, 2),
+        entry("j3", 1, 5, 3),
+        entry("j4", 1, 10, 4),
+        entry("j5", 1, 30, 5),
+        entry("j6", 1, 20, 6),
+    ]
+    made = decide([machine], jobs)
+    tiers = started(made)
+    assert tiers["j1"] == tiers["j3"] == tiers["j4"] == "foreground"
+    assert [hold.job for hold in made.reservations] == ["j2"]
+    assert made.reservations[0].shadow_s == 10.0
+    # One processor is the extra room (5 - 4), and the head's promised room is the rest.
+    assert tiers["j5"] == "foreground" and "j2" not in tiers
+
+
+def test_extra_room_is_used_up_only_by_jobs_that_end_later() -> None:
+    machine = host("h", 10.0, run("r", 6, 10))
+    made = decide([machine], [entry("head", 8, 9, 1), entry("long", 2, 99, 2)])
+    assert started(made) == {"long": "foreground"}
+    machine = host("h", 10.0, run("r", 6, 10))
+    jobs = [entry("head", 8, 9, 1), entry("long", 2, 99, 2), entry("longer", 2, 100, 3)]
+    made = decide([machine], jobs, background=False)
+    assert started(made) == {"long": "foreground"}
+
+
+def test_background_takes_the_promised_room_shortest_first() -> None:
+    machine = host("h", 4.0, run("r", 2, 10))
+    jobs = [entry("head", 4, 9, 1), entry("slow", 2, 60, 2), entry("short", 2, 40, 3)]
+    assert started(decide([machine], jobs)) == {"short": "background"}
+
+
+def test_background_is_stopped_when_the_reservation_needs_its_room() -> None:
+    machine = host("h", 4.0, run("bg", 2, 50, Tier.BACKGROUND))
+    made = decide([machine], [entry("head", 4, 9, 1)])
+    assert [stop.attempt.task.job for stop in made.stops] == ["bg"]
+    machine = host("h", 4.0, run("bg", 2, 50, Tier.BACKGROUND), run("fg", 2, 10))
+    made = decide([machine], [entry("head", 4, 9, 1)])
+    assert not made.stops  # there is no use in it before the foreground ends
+
+
+def test_background_is_lifted_in_place_when_nothing_needs_its_room() -> None:
+    machine = host("h", 4.0, run("bg", 2, 50, Tier.BACKGROUND))
+    assert [a.task.job for a in decide([machine], []).lifts] == ["bg"]
+    machine = host("h", 4.0, run("bg", 2, 50, Tier.BACKGROUND))
+    assert not decide([machine], [], lifting=False).lifts
+
+
+def test_background_moves_from_its_checkpoint() -> None:
+    guest = run("bg", 2, 50, Tier.BACKGROUND)
+    guest.saves = True
+    hosts = [host("h", 4.0, guest, run("fg", 2, 10)), host("other", 2.0)]
+    made = decide(hosts, [entry("head", 4, 9, 1)])
+    assert [(s.attempt.task.job, s.save) for s in made.stops] == [("bg", True)]
+
+
+def test_every_array_task_is_an_entry_of_its_own() -> None:
+    made = decide([host("h", 3.0)], [entry("array", 1, 9, 1, tasks=5)])
+    assert len(made.starts) == 3
+
+
+def test_services_skip_tier_and_reservation() -> None:
+    made = decide([host("h", 2.0)], [entry("web", 2, 0, 1, tasks=2, service=True)])
+    assert started(made) == {"web": "foreground"}
+    assert not made.reservations
+
+
+def test_a_team_at_its_limit_is_no_head() -> None:
+    full = entry("full", 4, 9, 1, team_slots=0)
+    made = decide([host("h", 4.0)], [full, entry("next", 4, 9, 2)])
+    assert started(made) == {"next": "foreground"}
+    assert not made.reservations
+
+
+def test_overrunning_estimates_do_not_send_the_reservation_round() -> None:
+    first = decide([host("a", 4.0, run("r", 4, 10)), host("b", 4.0, run("q", 4, 12))],
+                   [entry("head", 4, 9, 1)])  # fmt: skip
+    assert first.reservations[0].host == "a"
+    snapshot = Snapshot(
+        [host("a", 4.0, run("r", 4, 14)), host("b", 4.0, run("q", 4, 11))],
+        [entry("head", 4, 9, 1)],
+        held=first.reservations,
+    )
+    assert plan(snapshot, Policy()).reservations[0].host == "a"
+
+
+@pytest.mark.parametrize("loss, stops", [(3.0, 1), (5000.0, 0)])
+def test_preemption_weighs_lost_work(loss: float, stops: int) -> None:
+    machine = host("h", 4.0, run("low", 4, 200, ran=loss))
+    urgent = entry("urgent", 4, 9, 1, rank=Rank.HIGH, patience_s=3.0)
+    assert len(decide([machine], [urgent]).stops) == stops
+
+
+def test_equal_rank_is_never_preempted() -> None:
+    machine = host("h", 4.0, run("same", 4, 200))
+    assert not decide([machine], [entry("next", 4, 9, 1, patience_s=0.0)]).stops
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_random_plans_fit(seed: int) -> None:
+    """No plan overfills a machine or starts a task twice, and the head is not overtaken
+    on its machine by foreground work that would still be there at the shadow time."""
+    rng = random.Random(seed)
+    hosts = []
+    for number in range(rng.randint(1, 6)):
+        total = rng.choice([4.0, 8.0, 32.0])
+        runs, left = [], total
+        while left >= 2 and rng.random() < 0.7:
+            need = float(rng.choice([1, 2]))
+            tier = rng.choice([Tier.FOREGROUND, Tier.FOREGROUND, Tier.BACKGROUND])
+            runs.append(run(f"r{number}-{len(runs)}", need, rng.uniform(1, 90), tier))
+            left -= need
+        hosts.append(host(f"h{number}", total, *runs, scarcity=rng.choice([0.0, 0.8])))
+    free = {h.id: h.free for h in hosts}
+    by_id = {h.id: h for h in hosts}
+    jobs = [
+        entry(f"j{n}", rng.choice([1, 2, 4, 8]), rng.uniform(1, 90), n, rng.randint(1, 9))
+        for n in range(12)
+    ]
+    needs = {job.job: (job.need, job.run_s) for job in jobs}
+    made = decide(hosts, jobs)
+    seen = set()
+    for start in made.starts:
+        assert start.task not in seen
+        seen.add(start.task)
+        free[start.host] = free[start.host].minus(needs[start.task.job][0])
+    assert all(room.cpus >= -1e-6 for room in free.values())
+    for hold in made.reservations:
+        machine = by_id[hold.host]
+        late = [
+            r.need.cpus
+            for r in machine.runs
+            if r.tier is Tier.FOREGROUND and r.ends_s > hold.shadow_s and not r.stopping
+        ]
+        assert sum(late) + hold.need.cpus <= machine.total.cpus + 1e-6
