Machines promised to a head free up too; stop work only for tasks that would be late

Cause: entries behind a head took every promised machine for one that never frees up, and claimed free room without stopping anything. With the shadow mended alone, arrays counted one freed slot for all their tasks.

--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -24,6 +24,7 @@
 
 NEVER = float("inf")
 STICKINESS_S = 5.0
+NO_AIM_S = 1e6
 LONGEST_WAIT_S = 600.0  # stands for waits without an end in sight
 SCARCITY_COST_S = 30.0
 PLANNED = Attempt(0)  # stands for attempts that this very plan starts
@@ -82,8 +83,9 @@
             self.reserved[host.id] = hold
             # The background on that machine makes way as soon as that is all it takes.
             self._evict_background(entry, host)
-        if self.policy.preemption and shadow > entry.patience_s:
-            for _ in range(len(entry.waiting)):
+        if self.policy.preemption and entry.patience_s < NO_AIM_S:
+            late = min(entry.team_slots, len(entry.waiting)) - self._in_time(entry)
+            for _ in range(late):
                 if self.stops_left <= 0 or not self._preempt(entry, shadow):
                     break
 
@@ -280,12 +282,29 @@
 
     # -- preempting --------------------------------------------------------------------
 
+    def _in_time(self, entry: Entry) -> int:
+        """How many of its tasks find room before they miss their aim, with nothing stopped."""
+        count = 0
+        for host in self.hosts:
+            if host.ready_s > entry.patience_s or not self._suits(entry, host):
+                continue
+            room = host.free.minus(self.claimed.get(host.id, NO_ROOM))
+            for run in host.runs:
+                if run.ends_s <= entry.patience_s:
+                    room = room.plus(run.need)
+            hold = self.reserved.get(host.id)
+            if hold is not None and hold.job != entry.job:
+                room = room.minus(hold.need)
+            count += room.copies(entry.need)
+        return count
+
     def _preempt(self, entry: Entry, shadow: float) -> bool:
         """Clear room for one task with the least work lost; true if room is on its way.
 
         Work is stopped only where less of it is lost than the stop spares in waiting.
         """
-        worth = min(shadow, LONGEST_WAIT_S) * max(entry.need.cpus, 1.0)
+        wait = min(max(shadow, entry.run_s), LONGEST_WAIT_S)
+        worth = wait * max(entry.need.cpus, 1.0)
         best: tuple[float, HostState, list[RunState]] | None = None
         for host in self.hosts:
             if host.ready_s > 0 or not host.total.holds(entry.need):
