--- a/dunehold/coordination/autoscaler.py
+++ b/dunehold/coordination/autoscaler.py
@@ -9,6 +9,8 @@
 from dunehold.protocol.cloud import MAX_RENT, MachineType
 from dunehold.types import HostId, Room, TypeName, Zone
 
+FREED_SHARE = 0.3  # of a boot time: room that frees up later is wanted by later arrivals
+
 
 @dataclass(frozen=True, slots=True)
 class Offer:
@@ -61,7 +63,7 @@
     idle_return_s: float,
 ) -> Decision:
     decision = Decision()
-    horizon = min((kind.boot_s for kind in types.values()), default=0.0)
+    horizon = FREED_SHARE * min((kind.boot_s for kind in types.values()), default=0.0)
     room = {}
     for host in hosts:
         if host.usable:
