Count a new session's lease from when it is first heard of; adopt what waits no more

The answer to a held command told of a worker's new session; tasks were started there; and the old session's last feeding let the ledger take the new lease for over. Excluded: drift, the expiry margin, and two leaders. On the way: a new leader kept adopted tasks on its waiting list, planned them again and again, and evicted background work for them (34 stops of one task in 13 s).

--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -95,7 +95,7 @@
     session: Session = Session(0)
     sequence: Sequence = Sequence(0)
     dead_session: Session = Session(0)
-    fed_at: MonotonicTime | None = None  # when the last report that we answered came
+    fed_at: MonotonicTime | None = None  # the latest that its lease can count from
     confirmed: bool = False  # its worker has seen our token: no older leader can feed it
     known: bool = False  # has reported under our token, in its present session
     fenced: bool = False  # everything on it is proved gone
@@ -133,6 +133,7 @@
     accepted: bool
     exits: tuple[Exit, ...] = ()
     lost: tuple[Run, ...] = ()
+    adopted: tuple[Run, ...] = ()
     changed: bool = False
 
 
@@ -265,6 +266,10 @@
             # The worker's lease ended in between: it killed and forgot all it had.
             lost = self._clear(host)
             changed = True
+            # A session that is new to us began before this message came, and its lease
+            # counts from then. A direct answer can be the first that we hear of it: what
+            # was fed before belongs to the session before.
+            host.fed_at = now
         host.session, host.sequence = report.session, report.sequence
         host.known = host.up = host.confirmed = True
         host.fenced = False
@@ -274,9 +279,12 @@
             host.draining = host.draining or "spot notice"
             changed = True
         exits: list[Exit] = []
+        adopted: list[Run] = []
         listed = set()
         for task in report.tasks:
             listed.add(task.id)
+            if task.id not in host.runs:
+                adopted.append(self._adopt(host, task, now))
             exit_ = self._ingest_task(host, task, now)
             if exit_ is not None:
                 exits.append(exit_)
@@ -297,12 +305,10 @@
             host.idle_since = None
         elif host.idle_since is None:
             host.idle_since = now
-        return Outcome(True, tuple(exits), tuple(lost), changed)
+        return Outcome(True, tuple(exits), tuple(lost), tuple(adopted), changed)
 
     def _ingest_task(self, host: Host, task: TaskReport, now: MonotonicTime) -> Exit | None:
-        run = host.runs.get(task.id)
-        if run is None:
-            run = self._adopt(host, task, now)
+        run = host.runs[task.id]
         run.seen = True
         run.in_reply = False
         host.images[run.image] = now
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -184,10 +184,7 @@
             host.address = report.address
             self._drop_client(host.id)
             self.recorder.host(host.id)
-        if report.session <= host.dead_session or (report.session, report.sequence) <= (
-            host.session,
-            host.sequence,
-        ):
+        if report.session <= host.dead_session or report.session < host.session:
             return None  # held up on its way: its worker no longer waits for an answer
         outcome = self.ledger.ingest(report, now)
         host.fed_at = now
@@ -209,6 +206,12 @@
         return host
 
     def _digest(self, host: Host, outcome: Outcome) -> None:
+        for run in outcome.adopted:
+            # Taken for waiting until its machine reported it: planned again and again, it
+            # would be refused each time and keep its room from everybody else.
+            progress = self.progress.get(run.id.task.job)
+            if progress is not None:
+                progress.waiting.discard(run.id.task.number)
         for exit_ in outcome.exits:
             self._exited(host, exit_)
         for run in outcome.lost:
@@ -344,6 +347,10 @@
             made = self.ledger.plan_start(record, start.task, host, start.tier, now)
             if isinstance(made, str):
                 log.debug("start of %s on %s refused: %s", start.task, host.id, made)
+                if start.task in self.ledger.present or self.ledger.is_done(
+                    record, start.task.number
+                ):
+                    progress.waiting.discard(start.task.number)
                 continue
             progress.waiting.discard(start.task.number)
             log.info(
