--- a/dunehold/coordination/intake.py
+++ b/dunehold/coordination/intake.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping import records
@@ -75,7 +75,7 @@
     view: View
     sync: Sync
     types: Callable[[], dict[TypeName, MachineType] | None]
-    running: Callable[[JobId], int]
+    running: Callable[[JobId], Awaitable[int]]
     wall: Callable[[], float]
     _pending: dict[JobId, _Submission] = field(default_factory=dict)
     _flush_task: asyncio.Task[None] | None = None
@@ -109,14 +109,14 @@
             record = self.view.jobs.get(job)
             if record is None:
                 return NOT_FOUND
-        return Response(200, self._describe(record))
+        return Response(200, await self._describe(record))
 
-    def _describe(self, record: JobRecord) -> bytes:
+    async def _describe(self, record: JobRecord) -> bytes:
         if record.phase is JobPhase.CANCELLED:
             return users.encode_state(record.id, "cancelled", record.done_count(), 0)
         if record.phase is JobPhase.DONE:
             return users.encode_state(record.id, "done", record.tasks, 0)
-        running = self.running(record.id)
+        running = await self.running(record.id)
         phase = "running" if running else "queued"
         return users.encode_state(record.id, phase, record.done_count(), running)
 
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -161,8 +161,8 @@
             waiting = unfinished(record, self.ledger)
             self.progress[job] = JobProgress(record.spec, waiting)
 
-    def running(self, job: JobId) -> int:
-        return len(self.ledger.by_job.get(job, ()))
+    def running(self) -> dict[JobId, int]:
+        return {job: len(tasks) for job, tasks in self.ledger.by_job.items()}
 
     # -- reports -----------------------------------------------------------------------
 
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -17,13 +17,14 @@
 from dunehold.coordination.leader import Leader
 from dunehold.coordination.recorder import Recorder
 from dunehold.coordination.sync import TROUBLE, Sync
-from dunehold.protocol import users, workers
+from dunehold.protocol import peers, users, workers
 from dunehold.protocol.cloud import CloudClient, CloudTrouble, MachineType, NoCapacity
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.state import ABSENT, LeaseGone, Priority, StateClient, Txn
 from dunehold.settings import Settings
 from dunehold.transport.budget import Budget
 from dunehold.transport.http import (
+    Client,
     Connect,
     HttpClient,
     HttpServer,
@@ -31,11 +32,23 @@
     Request,
     Response,
 )
-from dunehold.types import Duration, JobId, LeaseId, MonotonicTime, Revision, Token, TypeName
+from dunehold.types import (
+    Duration,
+    JobId,
+    LeaseId,
+    MonotonicTime,
+    NodeId,
+    Revision,
+    Token,
+    TypeName,
+)
 
 log = logging.getLogger(__name__)
 
-STATE_LINKS, WATCH_LINKS, CLOUD_LINKS = 16, 2, 4
+STATE_LINKS, WATCH_LINKS, CLOUD_LINKS, PEER_LINKS = 16, 2, 4, 2
+PEER_SOCKETS = 16
+PEER_TIMEOUT_S = 0.3
+RUNNING_AGE_S = 1.0
 RESERVED_SOCKETS = 200  # for workers' addresses, the state service, the cloud and peers
 BARRIER_GAP_S = 0.08
 WATCH_GAP_S = 0.1
@@ -61,6 +74,9 @@
     sync: Sync = field(init=False)
     intake: Intake = field(init=False)
     estimates: Estimates = field(default_factory=Estimates)
+    _peers: dict[NodeId, Client] = field(default_factory=dict)
+    _running_counts: dict[JobId, int] = field(default_factory=dict)
+    _running_at: MonotonicTime = MonotonicTime(-1e9)
     _election: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
@@ -110,6 +126,8 @@
         settings = self.settings
         server = HttpServer(self.handle, max(16, settings.sockets - RESERVED_SOCKETS))
         await server.start(settings.listen.host, settings.listen.port)
+        peer_server = HttpServer(self.handle_peer, PEER_SOCKETS)
+        await peer_server.start(settings.peer_listen.host, settings.peer_listen.port)
         log.info(
             "node %s listens on %s:%d",
             settings.node,
@@ -173,8 +191,36 @@
         name = known.node if known is not None and known.node != self.settings.node else None
         return Response(421, workers.encode_redirect(name))
 
-    def _running(self, job: JobId) -> int:
-        return self.leader.running(job) if self.leader is not None else 0
+    async def handle_peer(self, request: Request) -> Response:
+        if request.path == peers.RUNNING_PATH and self.leader is not None:
+            return Response(200, peers.encode_running(self.leader.running()))
+        return Response(404)
+
+    async def _running(self, job: JobId) -> int:
+        """Tasks on machines, for display; a second old at most where the leader answers."""
+        if self.leader is not None:
+            return len(self.leader.ledger.by_job.get(job, ()))
+        if self.now() - self._running_at > RUNNING_AGE_S:
+            self._running_at = self.now()
+            known = self.view.leader
+            client = None if known is None else self._peer_client(known.node)
+            try:
+                self._running_counts = (
+                    await peers.get_running(client, PEER_TIMEOUT_S)
+                    if client is not None
+                    else {}
+                )
+            except (NoResponse, BadMessage) as error:
+                log.debug("running counts: %s", error)
+        return self._running_counts.get(job, 0)
+
+    def _peer_client(self, name: NodeId) -> Client | None:
+        if name not in self._peers:
+            for peer in self.settings.peers:
+                if peer.name == name:
+                    host, port = peer.address.host, peer.address.port
+                    self._peers[name] = self.connect(host, port, PEER_LINKS)
+        return self._peers.get(name)
 
     # -- election ------------------------------------------------------------------------
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -113,6 +113,7 @@
     batch = [j["uid"] for j in world.jobs.values() if j["shape"] == "batch"]
     over = [uid for uid in batch if world.told.get(uid) in ("done", "cancelled")]
     assert len(over) >= 0.9 * len(batch)
+    assert world.seen_running > 10  # whichever node is asked
 
 
 @pytest.mark.parametrize("seed", range(10, 14))
--- a/tests/world.py
+++ b/tests/world.py
@@ -637,7 +637,8 @@
         node = self.node
         if node is None:
             raise ConnectionRefusedError
-        response = await node.handle(Request(method, target, {}, body or b""))
+        serve = node.handle_peer if target.startswith("/peer/") else node.handle
+        response = await serve(Request(method, target, {}, body or b""))
         if self.node is not node:
             raise ConnectionResetError
         return response.status, response.body
@@ -670,6 +671,7 @@
         self.completed: set[tuple[str, int]] = set()
         self.cancel_asked: set[str] = set()
         self.broken: list[str] = []
+        self.seen_running = 0
         self.checker = Checker(self)
         self._spawned: set[asyncio.Task[Any]] = set()
         self.network.services["state"] = self.state.handle
@@ -773,6 +775,7 @@
                 self.checker.broken("forgotten", uid)
             elif status == 200:
                 self.checker.answer(uid, row["phase"])
+                self.seen_running += row["phase"] == "running"
 
     @property
     def told(self) -> dict[str, str]:
