--- a/dunehold/coordination/intake.py
+++ b/dunehold/coordination/intake.py
@@ -40,7 +40,7 @@
     team = settings.teams.get(spec.team)
     if team is None:
         raise Impossible(f"owner: unknown team {spec.team}")
-    count = spec.tasks if spec.kind is Kind.SERVICE else 1
+    count = 1 if spec.kind is Kind.ARRAY else spec.tasks
     need = spec.need
     for name, limit, amount in (
         ("vcpus", team.limit_cpus, need.cpus),
@@ -55,9 +55,9 @@
                 zones.add(zone)
     if not zones:
         raise Impossible("a task fits no allowed machine type")
-    if spec.spread and spec.tasks > 1 and len(zones) < 2 and spec.kind is Kind.SERVICE:
+    if spec.spread and spec.tasks > 1 and len(zones) < 2 and spec.kind is not Kind.ARRAY:
         raise Impossible("spread: only one zone is possible")
-    if spec.spread and spec.one_zone and spec.tasks > 1 and spec.kind is Kind.SERVICE:
+    if spec.spread and spec.one_zone and spec.tasks > 1 and spec.kind is not Kind.ARRAY:
         raise Impossible("spread: contradicts together")
 
 
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -287,13 +287,18 @@
 
     def _plan_due(self) -> None:
         self._plan_timer = None
+        self.schedule(due=True)
+
+    def schedule(self, due: bool = False) -> None:
+        """Place what waits, and hand the commands out."""
         try:
-            self.schedule(due=True)
+            self._schedule(due)
         except Exception:
+            # A job that placement can't cope with must not take leadership along: the
+            # next leader would meet the same job, and no worker would be heard any more.
             log.exception("placement failed")
 
-    def schedule(self, due: bool = False) -> None:
-        """Place what waits, and hand the commands out."""
+    def _schedule(self, due: bool) -> None:
         now = self.now()
         if not self._dirty or not self.may_start():
             return
--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture.py
@@ -84,6 +84,8 @@
             progress = jobs.get(record.id)
             if progress is None or not progress.waiting or now < progress.held_until:
                 continue
+            if progress.spec.kind is Kind.GANG and record.id in self.ledger.by_job:
+                continue  # what is left of it ends by itself; then all start anew
             if self.ledger.may_start_job(record):
                 entries.append(
                     self._entry(record, progress, record.id in guaranteed, wall, hosts)
@@ -118,12 +120,17 @@
             need=spec.need,
             rank=spec.rank,
             order=(self._slack_to_next_aim(spec, waited, run_s), record.accepted_at),
-            waiting=list(islice(progress.waiting, TASKS_A_PLAN)),
+            waiting=list(
+                progress.waiting
+                if spec.kind is Kind.GANG
+                else islice(progress.waiting, TASKS_A_PLAN)
+            ),
             run_s=run_s,
             image=spec.image,
             image_gb=spec.image_gb,
             allowed=allowed,
             service=spec.kind is Kind.SERVICE,
+            gang=spec.kind is Kind.GANG,
             guaranteed=guaranteed,
             patience_s=self._patience(spec, waited, run_s, guaranteed),
             zone_limit=(spec.tasks + 1) // 2 if spec.spread else None,
@@ -198,6 +205,7 @@
             run.team,
             borrowed=id(run) in borrowed,
             stopping=run.stop_grace is not None,
+            gang=spec is not None and spec.kind is Kind.GANG,
             saves=spec is not None and spec.checkpoint_s > 0,
         )
 
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -20,7 +20,17 @@
     Start,
     Stop,
 )
-from dunehold.types import NO_ROOM, Attempt, AttemptId, HostId, Room, TaskId, Tier, TypeName
+from dunehold.types import (
+    NO_ROOM,
+    Attempt,
+    AttemptId,
+    HostId,
+    Room,
+    TaskId,
+    Tier,
+    TypeName,
+    Zone,
+)
 
 NEVER = float("inf")
 STICKINESS_S = 5.0
@@ -55,11 +65,76 @@
         self._lift_background()
         if self.policy.background:
             for entry in sorted(leftovers, key=lambda e: e.run_s):
-                if not entry.service:
+                if not entry.service and not entry.gang:
                     self._start_background(entry)
         return self.plan
 
+    def _start_gang(self, entry: Entry) -> None:
+        """Start all its tasks, or hold room for all of them."""
+        zones = {host.zone for host in self.hosts}
+        for group in [{zone} for zone in sorted(zones)] + ([] if entry.one_zone else [zones]):
+            chosen = self._gang_hosts(entry, group)
+            if len(chosen) == len(entry.waiting):
+                for host in chosen:
+                    self._start(entry, host, Tier.FOREGROUND)
+                return
+        if not self.reserved:
+            self._hold_gang_room(entry)
+
+    def _gang_hosts(self, entry: Entry, zones: set[Zone]) -> list[HostState]:
+        """A machine for each task, as far as there are any in these zones."""
+        chosen: list[HostState] = []
+        per_zone: dict[Zone, int] = {}
+        fitting = [h for h in self.hosts if h.zone in zones and h.ready_s <= 0]
+        for host in sorted(fitting, key=lambda h: h.scarcity):
+            if not self._fits_now(entry, host):
+                continue
+            if host.id in self.reserved and not self._backfills(entry, host):
+                continue
+            fits = host.free.minus(self.claimed.get(host.id, NO_ROOM)).copies(entry.need)
+            if host.id in self.reserved:
+                fits = min(fits, 1)
+            limit = entry.zone_limit
+            if limit is not None:
+                fits = min(fits, limit - per_zone.get(host.zone, 0))
+            fits = max(0, min(fits, len(entry.waiting) - len(chosen)))
+            per_zone[host.zone] = per_zone.get(host.zone, 0) + fits
+            chosen.extend([host] * fits)
+        return chosen
+
+    def _hold_gang_room(self, entry: Entry) -> None:
+        """Reserve on the machines that free up first, until all its tasks have room."""
+        left = len(entry.waiting)
+        times = [
+            (self._fits_at(entry.need, host), host)
+            for host in self.hosts
+            if self._suits(entry, host)
+        ]
+        holds: list[Reservation] = []
+        for at, host in sorted(times, key=lambda pair: pair[0]):
+            if left <= 0 or at == NEVER:
+                break
+            copies = min(left, host.total.copies(entry.need))
+            need = entry.need
+            for _ in range(copies - 1):
+                need = need.plus(entry.need)
+            left -= copies
+            holds.append(Reservation(entry.job, host.id, need, at))
+        if left > 0:
+            return  # wider than the fleet as it is
+        shadow = max((hold.shadow_s for hold in holds), default=0.0)
+        for hold in holds:
+            hold.shadow_s = shadow
+            self.plan.reservations.append(hold)
+            self.reserved[hold.host] = hold
+
     def _start_entry(self, entry: Entry) -> None:
+        if entry.gang:
+            if entry.team_slots >= len(entry.waiting) and self._team_allows(
+                entry, len(entry.waiting)
+            ):
+                self._start_gang(entry)
+            return
         blocked_by_head = bool(self.reserved) and not self.policy.backfill
         while entry.waiting and entry.team_slots > 0 and self._team_allows(entry):
             host = None if blocked_by_head else self._best_host(entry)
@@ -218,9 +293,9 @@
         if room is not None:
             self.team_room[entry.team] = room.minus(entry.need)
 
-    def _team_allows(self, entry: Entry) -> bool:
+    def _team_allows(self, entry: Entry, tasks: int = 1) -> bool:
         room = self.team_room.get(entry.team)
-        return room is None or room.holds(entry.need)
+        return room is None or room.copies(entry.need) >= tasks
 
     # -- reserving ---------------------------------------------------------------------
 
@@ -358,7 +433,7 @@
 
 def _may_preempt(entry: Entry, run: RunState) -> bool:
     """Lower priority, or borrowed room that a team needs for its guarantee."""
-    if run.stopping or run.id.attempt == PLANNED:
+    if run.stopping or run.gang or run.id.attempt == PLANNED:
         return False
     if run.rank < entry.rank:
         return True
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -36,6 +36,7 @@
     team: Team
     borrowed: bool = False  # beyond its team's guarantee
     stopping: bool = False
+    gang: bool = False  # its whole gang would lose what it did
     saves: bool = False  # can go on elsewhere from where it is stopped
 
 
@@ -70,6 +71,7 @@
     image_gb: float
     allowed: Callable[[HostState], bool]
     service: bool = False
+    gang: bool = False  # all waiting tasks start together or none does
     guaranteed: bool = False
     patience_s: float = 1e9  # how long it can wait without missing an aim
     zone_limit: int | None = None  # most tasks in a zone
--- a/dunehold/protocol/users.py
+++ b/dunehold/protocol/users.py
@@ -26,7 +26,7 @@
 MAX_TASKS = 100_000
 
 _JOB_ID = re.compile(r"job-[0-9]{1,18}\Z")
-_KINDS = {"batch": Kind.ARRAY, "standing": Kind.SERVICE}
+_KINDS = {"batch": Kind.ARRAY, "gang": Kind.GANG, "standing": Kind.SERVICE}
 _RANKS = {
     "critical": Rank.PRODUCTION,
     "high": Rank.HIGH,
@@ -76,7 +76,7 @@
         raise BadMessage("uid must look like job-000412")
     kind = _KINDS.get(codec.text(row, "shape"))
     if kind is None:
-        raise BadMessage("shape must be batch or standing")
+        raise BadMessage("shape must be batch, gang or standing")
     rank = _RANKS.get(codec.text(row, "rank"))
     if rank is None:
         raise BadMessage("rank must be critical, high, normal or idle")
--- a/dunehold/protocol/workers.py
+++ b/dunehold/protocol/workers.py
@@ -39,6 +39,8 @@
     "no_room": Why.NO_ROOM,
     "in_use": Why.BUSY,
     "unknown": Why.UNKNOWN,
+    "mates_gone": Why.PEERS,
+    "incomplete": Why.ALONE,
 }
 
 
--- a/dunehold/types.py
+++ b/dunehold/types.py
@@ -73,7 +73,7 @@
     def copies(self, need: Room) -> int:
         """How many times ``need`` fits."""
         fits = [
-            int((have + EPSILON) / want)
+            int(min((have + EPSILON) / want, MANY))  # a limit may be infinite
             for have, want in zip(self, need, strict=True)
             if want > EPSILON
         ]
@@ -96,6 +96,7 @@
 
 class Kind(StrEnum):
     ARRAY = "array"
+    GANG = "gang"  # runs only while all its tasks do
     SERVICE = "service"
 
 
@@ -127,6 +128,8 @@
     ERROR = "error"
     NO_ROOM = "no_room"
     BUSY = "busy"
+    PEERS = "peers"  # a task of its gang went away
+    ALONE = "alone"  # its gang did not come together in time
     UNKNOWN = "unknown"
     OTHER = "other"
 
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -146,6 +146,26 @@
     assert not made.reservations
 
 
+def test_a_gang_starts_whole_or_holds_room() -> None:
+    hosts = [host("a", 4.0), host("b", 4.0, run("r", 2, 10))]
+    made = decide(hosts, [entry("gang", 2, 9, 1, tasks=3, gang=True)])
+    assert len(made.starts) == 3
+    hosts = [host("a", 4.0), host("b", 4.0, run("r", 4, 10))]
+    jobs = [entry("gang", 2, 9, 1, tasks=3, gang=True), entry("long", 2, 60, 2)]
+    made = decide(hosts, jobs)
+    assert {hold.job for hold in made.reservations} == {"gang"}
+    assert "gang" not in started(made)
+
+
+def test_a_team_without_limit_on_one_amount() -> None:
+    room = {TEAM: Room(4.0, float("inf"), float("inf"))}
+    job = entry("job", 2, 9, 1, tasks=5)
+    job.need = Room(2.0, 1.0, 1.0)
+    machine = host("h", 64.0)
+    machine.free = machine.total = Room(64.0, 8.0, 64.0)
+    assert len(plan(Snapshot([machine], [job], room), Policy()).starts) == 2
+
+
 def test_a_team_at_its_limit_is_no_head() -> None:
     full = entry("full", 4, 9, 1, team_slots=0)
     made = decide([host("h", 4.0)], [full, entry("next", 4, 9, 2)])
--- a/tests/world.py
+++ b/tests/world.py
@@ -732,7 +732,7 @@
             "uid": f"job-{number:06d}",
             "jobclass": "quick" if quick else "long",
             "owner": rng.choice(["blue", "red"]),
-            "shape": "standing" if rng.random() < 0.08 else "batch",
+            "shape": rng.choice(["batch"] * 10 + ["standing", "gang"]),
             "rank": "high" if quick else rng.choice(["normal", "normal", "idle"]),
             "units": rng.choice([1, 2, 4, 6]),
             "vcpus": rng.choice([1.0, 2.0, 4.0]) if quick else rng.choice([2.0, 4.0, 8.0]),
