--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -159,6 +159,7 @@
     done: dict[JobId, set[int]] = field(default_factory=dict)  # reported, maybe not durable
     gone: set[HostId] = field(default_factory=set)
     _attempts: int = 0
+    _gang_attempts: dict[JobId, Attempt] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for record in self.view.hosts.values():
@@ -412,9 +413,7 @@
             return reason
         spec = record.spec
         assert spec is not None
-        self._attempts += 1
-        # The token in the upper half: no attempt number is reused, by any leader.
-        attempt = Attempt(self.token << ATTEMPT_BITS | self._attempts)
+        attempt = self._next_attempt(spec)
         run = Run(
             AttemptId(task, attempt),
             host.id,
@@ -429,6 +428,21 @@
         host.idle_since = None
         return run
 
+    def _next_attempt(self, spec: JobSpec) -> Attempt:
+        """The token in the upper half: no attempt number is reused, by any leader.
+
+        The tasks of a gang that start together share theirs: by it they find one another.
+        """
+        if spec.kind is Kind.GANG and spec.id in self.by_job:
+            shared = self._gang_attempts.get(spec.id)
+            if shared is not None:
+                return shared
+        self._attempts += 1
+        attempt = Attempt(self.token << ATTEMPT_BITS | self._attempts)
+        if spec.kind is Kind.GANG:
+            self._gang_attempts[spec.id] = attempt
+        return attempt
+
     def withdraw(self, run: Run) -> bool:
         """Take back a start that was never sent."""
         host = self.hosts.get(run.host)
