Take out what nothing uses, and make one piece of code serve where several did

Dead: the start of a reservation count by machine types, the fields for slow machines, error jobs and stop times, a constant, two parameters. Twins: the fetch time (three times), the room not claimed by stops (four times), and room times a number (three loops). Deposed is caught as a class, not by its name.

--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -68,7 +68,6 @@
     running_at: MonotonicTime | None = None
     why: Why | None = None
     stop_grace: Duration | None = None
-    stop_at: MonotonicTime | None = None
     duration_s: Duration | None = None  # how long it ran, once it has exited
 
     @property
@@ -108,9 +107,7 @@
     images: dict[Image, MonotonicTime] = field(default_factory=dict)
     idle_since: MonotonicTime | None = None
     errors: int = 0
-    error_jobs: set[JobId] = field(default_factory=set)
     error_at: MonotonicTime | None = None
-    slowness: list[float] = field(default_factory=list)
 
     @property
     def free(self) -> Room:
@@ -451,12 +448,13 @@
         self._remove(host, run)
         return True
 
-    def stop(self, run: Run, grace_s: Duration, now: MonotonicTime) -> None:
-        if run.occupies and not self.withdraw(run):
-            if run.stop_grace is None or grace_s < run.stop_grace:
-                run.stop_grace = grace_s
-            if run.stop_at is None:
-                run.stop_at = now
+    def stop(self, run: Run, grace_s: Duration) -> None:
+        if (
+            run.occupies
+            and not self.withdraw(run)
+            and (run.stop_grace is None or grace_s < run.stop_grace)
+        ):
+            run.stop_grace = grace_s
 
     def commands(self, host: Host, direct: bool, starts: bool) -> list[Command]:
         """What the worker should do now, for a report's response or a direct call.
@@ -470,7 +468,7 @@
                     out.append(Forget(run.id))
                 continue
             if self._unwanted(run):
-                self.stop(run, Duration(0.0), run.stop_at or run.planned_at)
+                self.stop(run, Duration(0.0))
                 if run.id not in host.runs:
                     continue  # it was never sent
             if run.unsent and not starts:
--- a/dunehold/coordination/autoscaler.py
+++ b/dunehold/coordination/autoscaler.py
@@ -85,9 +85,7 @@
                 break
             if demand.allowed(offers[host_id]):
                 fits = min(left, free.copies(demand.need))
-                for _ in range(fits):
-                    free = free.minus(demand.need)
-                room[host_id] = free
+                room[host_id] = free.minus(demand.need.times(fits))
                 left -= fits
         if left > 0:
             _rent(types, demand, left, refused, per_zone, asked, room, offers)
@@ -139,10 +137,7 @@
     if spare:
         # The rest of the last machine serves the demands that follow.
         ghost = HostId(f"+{len(room)}")
-        free = kind.room
-        for _ in range(copies - spare):
-            free = free.minus(demand.need)
-        room[ghost] = free
+        room[ghost] = kind.room.minus(demand.need.times(copies - spare))
         offers[ghost] = offer
 
 
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -14,7 +14,7 @@
 from dunehold.coordination.autoscaler import Offer, Rent
 from dunehold.coordination.estimates import Estimates
 from dunehold.coordination.picture import JobProgress, Picture, unfinished
-from dunehold.coordination.recorder import Recorder
+from dunehold.coordination.recorder import Deposed, Recorder
 from dunehold.coordination.scheduler.measy import plan
 from dunehold.coordination.scheduler.model import Plan, Policy, Reservation
 from dunehold.protocol import workers
@@ -60,7 +60,6 @@
 MAX_ERROR_HOLD_S = 60.0
 BROKEN_JOB_HOSTS = 3
 REFUSED_HOLD_S = 1.0
-QUARANTINE_DRAIN_S = 20.0
 
 
 @dataclass(slots=True)
@@ -129,11 +128,11 @@
             await work
         except asyncio.CancelledError:
             raise
-        except Exception as error:
-            if type(error).__name__ == "Deposed":
-                log.info("token %d: leader key lost", self.token)
-            else:
-                log.exception("token %d: a leader's task failed", self.token)
+        except Deposed:
+            log.info("token %d: leader key lost", self.token)
+            self.deposed()
+        except Exception:
+            log.exception("token %d: a leader's task failed", self.token)
             self.deposed()
 
     @staticmethod
@@ -233,7 +232,6 @@
         log.info("attempt %s on %s exited: %s", run.id, host.id, exit_.why.value)
         if exit_.why is Why.DONE:
             host.errors = 0
-            host.error_jobs.clear()
             host.error_at = None
             if progress is not None:
                 progress.finished += 1
@@ -261,7 +259,6 @@
             log.info("job %s fails on every machine: held for %.0f s", job, hold)
             return
         host.errors += 1
-        host.error_jobs.add(job)
         host.error_at = now
         if host.errors >= self.settings.operator.sick_after_errors and host.draining is None:
             host.draining = "tasks fail on it"
@@ -335,7 +332,7 @@
             save = stop.save and record is not None and record.spec is not None
             grace = record.spec.save_s if save and record and record.spec else 0.0
             log.info("stop %s on %s: %s", run.id, host.id, stop.reason)
-            self.ledger.stop(run, Duration(grace), now)
+            self.ledger.stop(run, Duration(grace))
             if run.id not in host.runs:
                 self._requeue(run.id.task)
             touched.add(host.id)
--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture.py
@@ -87,9 +87,7 @@
             if progress.spec.kind is Kind.GANG and record.id in self.ledger.by_job:
                 continue  # what is left of it ends by itself; then all start anew
             if self.ledger.may_start_job(record):
-                entries.append(
-                    self._entry(record, progress, record.id in guaranteed, wall, hosts)
-                )
+                entries.append(self._entry(record, progress, record.id in guaranteed, wall))
         self._weigh(hosts, jobs, now)
         team_room = {}
         for team in self.settings.teams.values():
@@ -105,7 +103,6 @@
         progress: JobProgress,
         guaranteed: bool,
         wall: WallTime,
-        hosts: list[HostState],
     ) -> Entry:
         spec = progress.spec
         run_s = self.estimates.run_s(spec)
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -28,7 +28,6 @@
     Room,
     TaskId,
     Tier,
-    TypeName,
     Zone,
 )
 
@@ -44,13 +43,11 @@
     def __init__(self, snapshot: Snapshot, policy: Policy) -> None:
         self.policy = policy
         self.hosts = snapshot.hosts
-        self.by_id: dict[HostId, HostState] = {host.id: host for host in snapshot.hosts}
         self.entries = sorted(snapshot.entries, key=_list_order)
         self.team_room = dict(snapshot.team_room)
         self.held = {hold.job: hold for hold in snapshot.held}
         self.reserved: dict[HostId, Reservation] = {}
         self.claimed: dict[HostId, Room] = {}  # room being cleared for somebody by stops
-        self.heads: dict[frozenset[TypeName], int] = {}
         self.plan = Plan()
         self.stops_left = policy.stops
 
@@ -91,7 +88,7 @@
                 continue
             if host.id in self.reserved and not self._backfills(entry, host):
                 continue
-            fits = host.free.minus(self.claimed.get(host.id, NO_ROOM)).copies(entry.need)
+            fits = self._unclaimed(host).copies(entry.need)
             if host.id in self.reserved:
                 fits = min(fits, 1)
             limit = entry.zone_limit
@@ -115,11 +112,8 @@
             if left <= 0 or at == NEVER:
                 break
             copies = min(left, host.total.copies(entry.need))
-            need = entry.need
-            for _ in range(copies - 1):
-                need = need.plus(entry.need)
             left -= copies
-            holds.append(Reservation(entry.job, host.id, need, at))
+            holds.append(Reservation(entry.job, host.id, entry.need.times(copies), at))
         if left > 0:
             return  # wider than the fleet as it is
         shadow = max((hold.shadow_s for hold in holds), default=0.0)
@@ -207,9 +201,9 @@
                 and not self._backfills(entry, host)
             ):
                 continue
-            fetch = 0.0 if entry.image in host.images else entry.image_gb / host.fetch_gb_per_s
             left = host.free.cpus - entry.need.cpus
-            cost = (fetch + SCARCITY_COST_S * host.scarcity + host.penalty_s, left)
+            wait = _fetch_s(entry, host) + SCARCITY_COST_S * host.scarcity + host.penalty_s
+            cost = (wait, left)
             if cost < best_cost:
                 best, best_cost = host, cost
         if (
@@ -231,16 +225,13 @@
                     return True
         return False
 
-    @staticmethod
-    def _could_hold(entry: Entry, host: HostState) -> bool:
-        return host.total.holds(entry.need) and entry.allowed(host)
+    def _unclaimed(self, host: HostState) -> Room:
+        """Free room that is not being cleared for somebody."""
+        claimed = self.claimed.get(host.id)
+        return host.free if claimed is None else host.free.minus(claimed)
 
     def _fits_now(self, entry: Entry, host: HostState) -> bool:
-        free = host.free
-        claimed = self.claimed.get(host.id)
-        if claimed is not None:
-            free = free.minus(claimed)
-        return free.holds(entry.need) and self._suits(entry, host)
+        return self._unclaimed(host).holds(entry.need) and self._suits(entry, host)
 
     @staticmethod
     def _suits(entry: Entry, host: HostState) -> bool:
@@ -256,8 +247,7 @@
         hold = self.reserved[host.id]
         if hold.job == entry.job:
             return True
-        fetch = 0.0 if entry.image in host.images else entry.image_gb / host.fetch_gb_per_s
-        if entry.run_s + fetch <= hold.shadow_s:
+        if entry.run_s + _fetch_s(entry, host) <= hold.shadow_s:
             return True
         return self._extra(host, hold).holds(entry.need)
 
@@ -273,7 +263,7 @@
     def _start(self, entry: Entry, host: HostState, tier: Tier) -> None:
         task = TaskId(entry.job, entry.waiting.pop(0))
         self.plan.starts.append(Start(task, host.id, tier))
-        fetch = 0.0 if entry.image in host.images else entry.image_gb / host.fetch_gb_per_s
+        fetch = _fetch_s(entry, host)
         host.free = host.free.minus(entry.need)
         host.images |= {entry.image}
         host.runs.append(
@@ -363,7 +353,7 @@
         for host in self.hosts:
             if host.ready_s > entry.patience_s or not self._suits(entry, host):
                 continue
-            room = host.free.minus(self.claimed.get(host.id, NO_ROOM))
+            room = self._unclaimed(host)
             for run in host.runs:
                 if run.ends_s <= entry.patience_s:
                     room = room.plus(run.need)
@@ -386,7 +376,7 @@
                 continue
             if not self._suits(entry, host):
                 continue
-            free = host.free.minus(self.claimed.get(host.id, NO_ROOM))
+            free = self._unclaimed(host)
             for run in host.runs:
                 if run.stopping:
                     free = free.plus(run.need)
@@ -431,6 +421,10 @@
         )
 
 
+def _fetch_s(entry: Entry, host: HostState) -> float:
+    return 0.0 if entry.image in host.images else entry.image_gb / host.fetch_gb_per_s
+
+
 def _may_preempt(entry: Entry, run: RunState) -> bool:
     """Lower priority, or borrowed room that a team needs for its guarantee."""
     if run.stopping or run.gang or run.id.attempt == PLANNED:
--- a/dunehold/types.py
+++ b/dunehold/types.py
@@ -63,6 +63,9 @@
             self.cpus - other.cpus, self.gpus - other.gpus, self.memory_gb - other.memory_gb
         )
 
+    def times(self, number: int) -> Room:
+        return Room(self.cpus * number, self.gpus * number, self.memory_gb * number)
+
     def holds(self, need: Room) -> bool:
         return (
             need.cpus <= self.cpus + EPSILON
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -97,7 +97,7 @@
     assert not isinstance(run, str)
     ledger.commands(host, direct=True, starts=True)
     ledger.ingest(report(1, 2), now)
-    ledger.stop(run, Duration(0.0), now)
+    ledger.stop(run, Duration(0.0))
     assert TASK in ledger.present
     # It is made known and stopped in one go; what is late then finds it ended.
     assert [type(c).__name__ for c in ledger.commands(host, False, True)] == ["Start", "Stop"]
--- a/tests/world.py
+++ b/tests/world.py
@@ -96,7 +96,6 @@
     network: Network
     source: str
     target: str
-    alive: Callable[[], bool]
 
     async def request(
         self, method: str, target: str, body: bytes | None, timeout_s: float
@@ -325,7 +324,7 @@
             sent, session = world.now(), self.session
             body = dump(self.report())
             node = world.nodes[self.node]
-            client = FakeClient(world.network, self.name, node.name, lambda: True)
+            client = FakeClient(world.network, self.name, node.name)
             pause = REPORT_S * world.rng.uniform(0.75, 1.25)
             try:
                 status, data = await client.request("POST", "/v1/report", body, 4.0)
@@ -620,7 +619,7 @@
         network.zone_of[source] = network.zone_of[self.name]
 
         def connect(host: str, port: int, links: int) -> FakeClient:
-            return FakeClient(network, source, host, lambda: True)
+            return FakeClient(network, source, host)
 
         self.node = Node(
             self.world.settings(self.index),
@@ -796,7 +795,7 @@
         status, data = 0, b""
         while True:
             node = self.rng.choice(self.nodes)
-            client = FakeClient(self.network, "users", node.name, lambda: True)
+            client = FakeClient(self.network, "users", node.name)
             try:
                 status, data = await client.request(method, path, body, 5.0)
             except NoResponse:
