--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -28,7 +28,6 @@
     JobPhase,
     Kind,
     MonotonicTime,
-    Revision,
     Room,
     Sequence,
     Session,
@@ -60,6 +59,7 @@
     image: Image
     planned_at: MonotonicTime
     service: bool = False
+    logged: bool = False  # in the durable log of starts: it may be commanded
     seen: bool = False  # the worker has reported it
     in_reply: bool = False  # in a report response that may have been carried out
     unanswered: int = 0  # direct starts without an answer: they may still be carried out
@@ -108,6 +108,8 @@
     idle_since: MonotonicTime | None = None
     errors: int = 0
     error_at: MonotonicTime | None = None
+    recorded: bool = False  # durable, and nothing under way that would undo it
+    version: int = 0  # counts every change of what is on it
 
     @property
     def free(self) -> Room:
@@ -144,7 +146,6 @@
     view: View
     token: Token
     took_over_at: MonotonicTime
-    took_over: Revision  # jobs created later can't have been started by another leader
     teams: dict[Team, TeamSettings]
     types: dict[TypeName, MachineType]
     lease_s: Duration
@@ -155,19 +156,35 @@
     use: dict[Team, Room] = field(default_factory=dict)
     done: dict[JobId, set[int]] = field(default_factory=dict)  # reported, maybe not durable
     gone: set[HostId] = field(default_factory=set)
+    # Machines on record on which an earlier leader's tasks may still be. Each leaves once,
+    # when it answers, is fenced or deleted, so no start has to look through the fleet.
+    _unknown: set[HostId] = field(default_factory=set)
+    _unknown_room: Room = NO_ROOM
+    _zones: dict[JobId, dict[Zone, int]] = field(default_factory=dict)
+    # What an earlier leader may have started on machines that are still unknown.
+    _maybe: dict[TaskId, set[HostId]] = field(default_factory=dict)
+    released: list[TaskId] = field(default_factory=list)  # no more among them, to be placed
     _attempts: int = 0
     _gang_attempts: dict[JobId, Attempt] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for record in self.view.hosts.values():
-            self.add_host(
+            host = self.add_host(
                 record.id,
                 record.type,
                 record.zone,
                 record.spot,
-                record.address,
+                "",
                 self.took_over_at,
             )
+            host.recorded = True
+            self._unknown.add(record.id)
+            self._unknown_room = self._unknown_room.plus(host.room)
+        for placed in self.view.starts.values():
+            for name, tasks in placed.items():
+                if name in self._unknown:
+                    for task in tasks:
+                        self._maybe.setdefault(task, set()).add(name)
 
     # -- machines ------------------------------------------------------------------
 
@@ -188,23 +205,36 @@
 
     def unknown_hosts(self) -> list[Host]:
         """Registered machines on which an earlier leader's tasks may still be."""
-        return [
-            host
-            for host in self.hosts.values()
-            if not host.known
-            and not host.fenced
-            and host.id in self.view.hosts
-            and host.created_at == self.took_over_at
-        ]
+        return [self.hosts[host] for host in self._unknown]
 
     def all_known(self) -> bool:
-        return not self.unknown_hosts()
+        return not self._unknown
+
+    def _settled(self, host: Host) -> None:
+        """Nothing of an earlier leader can be on it unseen any more."""
+        if host.id in self._unknown:
+            self._unknown.discard(host.id)
+            for placed in self.view.starts.values():
+                for task in placed.get(host.id, ()):
+                    places = self._maybe.get(task)
+                    if places is not None:
+                        places.discard(host.id)
+                        if not places:
+                            del self._maybe[task]
+                            self.released.append(task)
+            self._unknown_room = (
+                self._unknown_room.minus(host.room) if self._unknown else NO_ROOM
+            )
 
     def delete_completed(self, host_id: HostId) -> list[Run]:
         """The cloud has answered: the machine and everything on it are gone."""
         self.gone.add(host_id)
-        host = self.hosts.pop(host_id, None)
-        return [] if host is None else self._clear(host)
+        host = self.hosts.get(host_id)
+        if host is None:
+            return []
+        self._settled(host)
+        del self.hosts[host_id]
+        return self._clear(host)
 
     def expire(self, now: MonotonicTime) -> list[Run]:
         """Clear machines whose worker lease nobody can have renewed."""
@@ -215,6 +245,7 @@
             if host.runs:
                 log.info("host %s: lease over, %d attempts are gone", host.id, len(host.runs))
             host.fenced = True
+            self._settled(host)
             host.known = False
             host.up = False
             # Reports of this session may still arrive late; they tell of the past.
@@ -270,6 +301,7 @@
             host.fed_at = now
         host.session, host.sequence = report.session, report.sequence
         host.known = host.up = host.confirmed = True
+        self._settled(host)
         host.fenced = False
         host.address = report.address
         if report.notice_s is not None and host.notice_at is None:
@@ -309,11 +341,15 @@
         run = host.runs[task.id]
         run.seen = True
         run.in_reply = False
+        if run.image not in host.images:
+            host.version += 1
         host.images[run.image] = now
         was = run.phase
         if was is TaskPhase.EXITED:
             return None
         run.phase = task.phase
+        if task.phase is not was:
+            host.version += 1
         if task.phase is TaskPhase.RUNNING and run.running_at is None:
             run.running_at = now
         if task.phase is not TaskPhase.EXITED:
@@ -352,11 +388,11 @@
             return "task is done"
         if task in self.present:
             return "task may be on a machine"
-        if not self.may_start_job(record):
+        if self.may_run_unseen(task):
             return "an earlier leader may have started it"
         if not host.known or host.draining is not None or host.deleting:
             return "machine is not usable"
-        if host.id not in self.view.hosts:
+        if not host.recorded:
             return "machine is not on record"
         if not host_allowed(spec, host.type, host.zone, host.spot):
             return "machine is not allowed"
@@ -371,13 +407,27 @@
             return "too many in the zone"
         return None
 
-    def may_start_job(self, record: JobRecord) -> bool:
-        """False while an earlier leader's start of it may be somewhere unseen.
+    def may_run_unseen(self, task: TaskId) -> bool:
+        """May a machine that has not answered this leader be running it?
 
-        A job's version is that of its acceptance until it is over. The old leader applies
-        changes in order, so it sees its own end before any job accepted after it.
+        Every start is in the durable log before it is commanded, in a transaction that
+        only the leader's own key lets through. So what the log does not place on a silent
+        machine is not on one, whatever the leader before has done.
         """
-        return record.version > self.took_over or self.all_known()
+        return task in self._maybe
+
+    def take_released(self) -> list[TaskId]:
+        released, self.released = self.released, []
+        return released
+
+    def still_there(self, host_id: HostId, task: TaskId) -> bool:
+        """Must the log go on saying that this task may be on this machine?"""
+        host = self.hosts.get(host_id)
+        if host is None or host.fenced:
+            return False
+        if host_id in self._unknown:
+            return True
+        return any(run.host == host_id for run in self.present.get(task, ()))
 
     def team_use(self, team: Team) -> Room:
         return self.use.get(team, NO_ROOM)
@@ -387,20 +437,14 @@
         if team is None:
             return False
         use = self.team_use(spec.team).plus(spec.need).plus(more)
-        if team.limit_cpus is not None or team.limit_gpus is not None:
-            # What machines that have not answered yet hold may all be this team's.
-            for host in self.unknown_hosts():
-                use = use.plus(host.room)
-        return team.allows(use)
+        # What machines that have not answered yet hold may all be this team's.
+        return team.allows(use.plus(self._unknown_room))
 
     def is_done(self, record: JobRecord, index: int) -> bool:
         return record.done(index) or index in self.done.get(record.id, ())
 
     def job_zones(self, job: JobId) -> dict[Zone, int]:
-        zones: dict[Zone, int] = {}
-        for zone in self.by_job.get(job, {}).values():
-            zones[zone] = zones.get(zone, 0) + 1
-        return zones
+        return self._zones.get(job, {})
 
     def plan_start(
         self, record: JobRecord, task: TaskId, host: Host, tier: Tier, now: MonotonicTime
@@ -455,6 +499,9 @@
             and (run.stop_grace is None or grace_s < run.stop_grace)
         ):
             run.stop_grace = grace_s
+            host = self.hosts.get(run.host)
+            if host is not None:
+                host.version += 1
 
     def commands(self, host: Host, direct: bool, starts: bool) -> list[Command]:
         """What the worker should do now, for a report's response or a direct call.
@@ -471,7 +518,7 @@
                 self.stop(run, Duration(0.0))
                 if run.id not in host.runs:
                     continue  # it was never sent
-            if run.unsent and not starts:
+            if run.unsent and not (starts and run.logged):
                 continue
             if not run.seen:
                 # A start that may still come late is made known before it is stopped, so
@@ -490,7 +537,8 @@
         return any(
             run.occupies
             and (
-                run.unsent or (run.stop_grace is not None and run.phase is not TaskPhase.SAVING)
+                (run.unsent and run.logged)
+                or (run.stop_grace is not None and run.phase is not TaskPhase.SAVING)
             )
             for run in host.runs.values()
         )
@@ -529,27 +577,48 @@
     # -- sums ----------------------------------------------------------------------
 
     def _occupy(self, host: Host, run: Run) -> None:
+        host.version += 1
         host.runs[run.id] = run
         host.used = host.used.plus(run.need)
         self.use[run.team] = self.team_use(run.team).plus(run.need)
-        self.present.setdefault(run.id.task, []).append(run)
-        self.by_job.setdefault(run.id.task.job, {})[run.id.task] = host.zone
+        task = run.id.task
+        self.present.setdefault(task, []).append(run)
+        self._set_zone(task, host.zone)
 
     def _release(self, host: Host, run: Run) -> None:
         """The attempt takes no room any more, though the worker may still report it."""
+        host.version += 1
         host.used = host.used.minus(run.need)
         self.use[run.team] = self.team_use(run.team).minus(run.need)
         task = run.id.task
-        others = [other for other in self.present.get(task, []) if other.id != run.id]
+        others = [other for other in self.present.get(task, ()) if other is not run]
         if others:
             self.present[task] = others
+            left = self.hosts.get(others[0].host)
+            if left is not None and left.zone != host.zone:
+                self._set_zone(task, left.zone)
             return
         self.present.pop(task, None)
         tasks = self.by_job.get(task.job)
-        if tasks is not None:
-            tasks.pop(task, None)
-            if not tasks:
-                del self.by_job[task.job]
+        if tasks is None or task not in tasks:
+            return
+        self._set_zone(task, None)
+        if not tasks:
+            del self.by_job[task.job]
+            del self._zones[task.job]
+
+    def _set_zone(self, task: TaskId, zone: Zone | None) -> None:
+        """Count the task in its zone, and in no other."""
+        tasks = self.by_job.setdefault(task.job, {})
+        zones = self._zones.setdefault(task.job, {})
+        before = tasks.pop(task, None)
+        if before is not None:
+            zones[before] -= 1
+            if not zones[before]:
+                del zones[before]
+        if zone is not None:
+            tasks[task] = zone
+            zones[zone] = zones.get(zone, 0) + 1
 
     def _remove(self, host: Host, run: Run) -> None:
         if host.runs.pop(run.id, None) is not None and run.occupies:
--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -17,6 +17,7 @@
     NodeId,
     RentalId,
     Revision,
+    TaskId,
     Token,
     TypeName,
     WallTime,
@@ -30,11 +31,15 @@
 MARKS = PREFIX + "marks/"
 HOSTS = PREFIX + "hosts/"
 RENTALS = PREFIX + "rentals/"
+STARTS = PREFIX + "starts/"
+START_SLOTS = 256  # the log of starts is a ring of so many keys
+
+Placed = dict[HostId, set[TaskId]]  # machine -> tasks that may have been started there
 
 # One page of done marks is a bitmap of so many tasks: 700 bytes in base64, which fits
 # the smallest value size that the settings allow (1 KiB).
 PAGE_TASKS = 4096
-HOST_RECORD_BYTES = 150
+HOST_BYTES = 24  # of a name in a page of machines; longer names make fewer to a page
 
 
 def job_key(job: JobId) -> str:
@@ -78,7 +83,6 @@
     """A machine that may have been told to start tasks."""
 
     id: HostId
-    address: str
     type: TypeName
     zone: Zone
     spot: bool
@@ -133,24 +137,55 @@
     )
 
 
-def encode_hosts(hosts: list[HostRecord]) -> dict[str, Any]:
-    return {host.id: [host.address, host.type, host.zone, host.spot] for host in hosts}
+def encode_hosts(hosts: list[HostRecord]) -> list[Any]:
+    """By type, zone and kind, which many share. Addresses are not kept: workers find the
+    leader by themselves, and the cloud's list has them."""
+    groups: dict[tuple[TypeName, Zone, bool], list[HostId]] = {}
+    for host in hosts:
+        groups.setdefault((host.type, host.zone, host.spot), []).append(host.id)
+    return [[*key, *names] for key, names in groups.items()]
 
 
 def decode_hosts(value: Any) -> dict[HostId, HostRecord]:
-    if not isinstance(value, dict):
+    if not isinstance(value, list):
         raise BadMessage("hosts record")
     found = {}
-    for name, row in value.items():
-        if not isinstance(row, list) or len(row) != 4:
-            raise BadMessage("host record")
-        host = HostId(name)
-        found[host] = HostRecord(
-            host, str(row[0]), TypeName(row[1]), Zone(row[2]), bool(row[3])
-        )
+    for row in value:
+        if not isinstance(row, list) or len(row) < 3:
+            raise BadMessage("hosts record")
+        for name in row[3:]:
+            host = HostId(str(name))
+            found[host] = HostRecord(host, TypeName(row[0]), Zone(row[1]), bool(row[2]))
     return found
 
 
+def encode_starts(placed: Placed) -> dict[str, Any]:
+    value: dict[str, dict[str, list[int]]] = {}
+    for host, tasks in placed.items():
+        jobs = value.setdefault(host, {})
+        for task in tasks:
+            jobs.setdefault(task.job, []).append(task.number)
+    return value
+
+
+def decode_starts(value: Any) -> Placed:
+    if not isinstance(value, dict):
+        raise BadMessage("starts record")
+    return {
+        HostId(host): {
+            TaskId(JobId(job), int(number))
+            for job, numbers in jobs.items()
+            for number in numbers
+        }
+        for host, jobs in value.items()
+    }
+
+
+def starts_bytes(tasks: set[TaskId]) -> int:
+    """About what one machine's tasks take in the log."""
+    return 24 + sum(len(job) + 8 for job in {t.job for t in tasks}) + 7 * len(tasks)
+
+
 def encode_rental(rental: Rental) -> list[Any]:
     return [rental.type, rental.zone, rental.spot, rental.number]
 
--- a/dunehold/bookkeeping/view.py
+++ b/dunehold/bookkeeping/view.py
@@ -14,6 +14,9 @@
 log = logging.getLogger(__name__)
 
 
+VERSIONED = (records.HOSTS, records.STARTS, records.MARKS)
+
+
 @dataclass(slots=True)
 class View:
     applied: Revision = Revision(0)
@@ -26,6 +29,10 @@
     hosts: dict[HostId, HostRecord] = field(default_factory=dict)
     host_pages: dict[int, dict[HostId, HostRecord]] = field(default_factory=dict)
     rentals: dict[RentalId, Rental] = field(default_factory=dict)
+    starts: dict[int, records.Placed] = field(default_factory=dict)  # the log, by slot
+    # Of keys that a leader writes again and again: a write that was given up on and comes
+    # late is refused by them, and can't take a newer one back.
+    versions: dict[str, Revision] = field(default_factory=dict)
     orphan_marks: dict[JobId, dict[int, int]] = field(default_factory=dict)
 
     def load(self, entries: list[Entry], revision: Revision) -> None:
@@ -55,6 +62,11 @@
 
     def _apply_one(self, change: Change) -> JobId | None:
         key = change.key
+        if key.startswith(VERSIONED):
+            if change.deleted:
+                self.versions.pop(key, None)
+            else:
+                self.versions[key] = change.version
         try:
             if key.startswith(records.JOBS):
                 return self._apply_job(JobId(key[len(records.JOBS) :]), change)
@@ -62,6 +74,11 @@
                 return self._apply_mark(key[len(records.MARKS) :], change)
             if key.startswith(records.HOSTS):
                 self._apply_hosts(int(key[len(records.HOSTS) :]), change)
+            elif key.startswith(records.STARTS):
+                slot = int(key[len(records.STARTS) :])
+                self.starts[slot] = (
+                    {} if change.deleted else records.decode_starts(change.value)
+                )
             elif key.startswith(records.RENTALS):
                 rental = RentalId(key[len(records.RENTALS) :])
                 if change.deleted:
--- a/dunehold/coordination/autoscaler.py
+++ b/dunehold/coordination/autoscaler.py
@@ -29,7 +29,6 @@
     free: Room  # now, or once booted
     freed: list[tuple[float, Room]]  # estimated end and room of what runs on it
     idle_s: float | None
-    usable: bool
 
 
 @dataclass(slots=True)
@@ -64,37 +63,54 @@
 ) -> Decision:
     decision = Decision()
     horizon = FREED_SHARE * min((kind.boot_s for kind in types.values()), default=0.0)
-    room = {}
+    least = min((demand.need.cpus for demand in demands), default=0.0)
+    room: dict[Offer, dict[HostId, Room]] = {}
     for host in hosts:
-        if host.usable:
-            free = host.free
-            for ends_s, need in host.freed:
-                # What frees up before a new machine could have booted needs no machine.
-                if ends_s < horizon:
-                    free = free.plus(need)
-            room[host.id] = free
-    offers = {host.id: host.offer for host in hosts}
+        free = host.free
+        for ends_s, need in host.freed:
+            # What frees up before a new machine could have booted needs no machine.
+            if ends_s < horizon:
+                free = free.plus(need)
+        if free.cpus >= least:
+            room.setdefault(host.offer, {})[host.id] = free
     per_zone: dict[Zone, int] = {}
     for host in hosts:
         per_zone[host.offer.zone] = per_zone.get(host.offer.zone, 0) + 1
     asked: dict[Offer, int] = {}
     for demand in demands:
         left = demand.tasks
-        for host_id, free in room.items():
-            if left <= 0:
-                break
-            if demand.allowed(offers[host_id]):
-                fits = min(left, free.copies(demand.need))
-                room[host_id] = free.minus(demand.need.times(fits))
-                left -= fits
+        for offer, places in room.items():
+            if left > 0 and demand.allowed(offer):
+                left = _use(places, demand.need, left, least)
         if left > 0:
-            _rent(types, demand, left, refused, per_zone, asked, room, offers)
-    decision.rent = [Rent(offer, min(number, MAX_RENT)) for offer, number in asked.items()]
+            _rent(types, demand, left, refused, per_zone, asked, room)
+    for offer, number in asked.items():
+        full, rest = divmod(number, MAX_RENT)
+        decision.rent.extend(Rent(offer, MAX_RENT) for _ in range(full))
+        if rest:
+            decision.rent.append(Rent(offer, rest))
     if not asked:
         decision.give_back = _give_back(types, hosts, kept_cpus, idle_return_s)
     return decision
 
 
+def _use(places: dict[HostId, Room], need: Room, left: int, least: float) -> int:
+    """Fill the places with so many tasks; how many are left. Full places are dropped."""
+    full = []
+    for host, free in places.items():
+        if left <= 0:
+            break
+        fits = min(left, free.copies(need))
+        if fits:
+            places[host] = free = free.minus(need.times(fits))
+            left -= fits
+            if free.cpus < least:
+                full.append(host)
+    for host in full:
+        del places[host]
+    return left
+
+
 def _rent(
     types: dict[TypeName, MachineType],
     demand: Demand,
@@ -102,10 +118,9 @@
     refused: set[Offer],
     per_zone: dict[Zone, int],
     asked: dict[Offer, int],
-    room: dict[HostId, Room],
-    offers: dict[HostId, Offer],
+    room: dict[Offer, dict[HostId, Room]],
 ) -> None:
-    """Ask for the cheapest machines that take the tasks; an offer is asked once a round."""
+    """Ask for the cheapest machines that take the tasks."""
     options: list[tuple[float, int, Offer, MachineType]] = []
     for kind in types.values():
         copies = kind.room.copies(demand.need)
@@ -114,7 +129,7 @@
         for zone in kind.zones:
             for spot in (True, False):
                 offer = Offer(kind.name, zone, spot)
-                if offer in refused or offer in asked or not demand.allowed(offer):
+                if offer in refused or not demand.allowed(offer):
                     continue
                 price = kind.spot_price if spot else kind.price
                 cost = price * math.ceil(left / copies)
@@ -130,15 +145,16 @@
         take = min(share, number)
         if take <= 0:
             break
-        asked[twin] = take
+        asked[twin] = asked.get(twin, 0) + take
         number -= take
         per_zone[twin.zone] = per_zone.get(twin.zone, 0) + take
     spare = math.ceil(left / copies) * copies - left
     if spare:
         # The rest of the last machine serves the demands that follow.
-        ghost = HostId(f"+{len(room)}")
-        room[ghost] = kind.room.minus(demand.need.times(copies - spare))
-        offers[ghost] = offer
+        places = room.setdefault(offer, {})
+        places[HostId(f"+{len(asked)}-{len(places)}")] = kind.room.minus(
+            demand.need.times(copies - spare)
+        )
 
 
 def _give_back(
@@ -154,11 +170,11 @@
         rate = kind.spot_price if host.offer.spot else kind.price
         return rate / max(kind.room.cpus, 1.0)
 
-    cpus = sum(host.total.cpus for host in hosts if host.usable)
+    cpus = sum(host.total.cpus for host in hosts)
     back = []
     for host in sorted(hosts, key=price, reverse=True):
         idle = host.idle_s
-        if idle is None or idle < idle_return_s or not host.usable:
+        if idle is None or idle < idle_return_s:
             continue
         if cpus - host.total.cpus >= kept_cpus:
             cpus -= host.total.cpus
--- /dev/null
+++ b/dunehold/coordination/fleet.py
@@ -0,0 +1,246 @@
+"""Care of the machines: renting, listing, returning."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from dunehold.bookkeeping.ledger import Host, Ledger, Run
+from dunehold.bookkeeping.view import View
+from dunehold.coordination import autoscaler
+from dunehold.coordination.autoscaler import Offer, Rent
+from dunehold.coordination.picture import JobProgress, Picture
+from dunehold.coordination.recorder import Recorder
+from dunehold.protocol.cloud import (
+    MAX_DELETE,
+    MAX_LIST,
+    CloudClient,
+    CloudTrouble,
+    HostPhase,
+    Listed,
+    MachineType,
+    NoCapacity,
+    Rental,
+)
+from dunehold.protocol.codec import BadMessage
+from dunehold.settings import Settings
+from dunehold.transport.http import NoResponse
+from dunehold.types import HostId, JobId, MonotonicTime, RentalId, Token, TypeName
+
+log = logging.getLogger(__name__)
+
+RETRY_S = 2.0
+LIST_GAP_S = 5.0
+LIST_SHARE = 0.2  # of the cloud's calls
+SURE_LAGS = 3.0  # a list may be twice its lag old; clocks and calls take some more
+TROUBLE = (CloudTrouble, NoResponse, BadMessage)
+
+
+@dataclass(slots=True)
+class Fleet:
+    settings: Settings
+    view: View
+    ledger: Ledger
+    recorder: Recorder
+    cloud: CloudClient
+    picture: Picture
+    token: Token
+    types: dict[TypeName, MachineType]
+    may_start: Callable[[], bool]
+    spawn: Callable[[Coroutine[Any, Any, None]], None]
+    on_lost: Callable[[list[Run]], None]
+    on_removed: Callable[[HostId], None]
+    on_change: Callable[[], None]
+    refused: dict[Offer, MonotonicTime] = field(default_factory=dict)
+    listed: dict[HostId, Listed] = field(default_factory=dict)
+    _renting: bool = False
+    _rentals: int = 0
+
+    def start(self) -> None:
+        self.spawn(self._list_machines())
+        for rental in list(self.view.rentals.values()):
+            # Its answer may have been lost with the leader before.
+            self.spawn(self._rent(rental))
+
+    @staticmethod
+    def now() -> MonotonicTime:
+        return MonotonicTime(asyncio.get_running_loop().time())
+
+    # -- returning -----------------------------------------------------------------------
+
+    def look_after(self, now: MonotonicTime) -> None:
+        doomed: list[HostId] = []
+        if not self.may_start():
+            return
+        for host in self.ledger.hosts.values():
+            if host.deleting:
+                continue
+            if host.fenced and host.recorded:
+                self.recorder.host(host.id)  # nothing is on it: nobody need wait for it
+            reason = self._doomed(host, now)
+            if reason is not None:
+                log.info("host %s is returned: %s", host.id, reason)
+                host.deleting = True
+                doomed.append(host.id)
+        for first in range(0, len(doomed), MAX_DELETE):
+            self.spawn(self._delete(doomed[first : first + MAX_DELETE]))
+
+    def _doomed(self, host: Host, now: MonotonicTime) -> str | None:
+        operator = self.settings.operator
+        listed = self.listed.get(host.id)
+        if listed is not None and listed.phase is HostPhase.FAILED:
+            return "it failed"
+        heard = host.fed_at
+        if not host.up and heard is None and host.created_at != self.ledger.took_over_at:
+            kind = self.types.get(host.type)
+            patience = (kind.boot_s if kind else 30.0) * operator.boot_patience
+            return "it does not come up" if now - host.created_at > patience else None
+        silent_since = heard if heard is not None else host.created_at
+        if (host.up or host.fenced) and now - silent_since > operator.silent_return_s:
+            return "it is silent"
+        if host.draining is None or not host.known or host.notice_at is not None:
+            return None
+        busy = any(run.occupies for run in host.runs.values())
+        return None if busy else host.draining
+
+    async def _delete(self, hosts: list[HostId]) -> None:
+        while True:
+            try:
+                await self.cloud.delete(hosts)
+                break
+            except (*TROUBLE, NoCapacity) as error:
+                log.info("delete of %s: %s", ", ".join(hosts), error)
+                await asyncio.sleep(RETRY_S)
+        for host in hosts:
+            self._gone(host)
+        self.on_change()
+
+    def _gone(self, host: HostId) -> None:
+        self.on_lost(self.ledger.delete_completed(host))
+        self.on_removed(host)
+        self.listed.pop(host, None)
+        self.recorder.host(host)
+
+    # -- renting -------------------------------------------------------------------------
+
+    def scale(self, jobs: dict[JobId, JobProgress], now: MonotonicTime) -> None:
+        if self._renting:
+            return
+        demands = self.picture.demands(jobs, now)
+        hold = self.settings.operator.capacity_retry_s
+        refused = {offer for offer, at in self.refused.items() if now - at < hold}
+        if not self.settings.operator.spot_allowed:
+            refused |= {
+                Offer(kind.name, zone, True)
+                for kind in self.types.values()
+                for zone in kind.zones
+            }
+        decision = autoscaler.decide(
+            self.types,
+            self.picture.fleet(now),
+            demands,
+            refused,
+            self.picture.kept_cpus(demands, now),
+            self.settings.operator.idle_return_s,
+        )
+        if decision.rent:
+            self._renting = True
+            self.spawn(self._rent_all(decision.rent))
+        for host_id in decision.give_back:
+            host = self.ledger.hosts[host_id]
+            if host.draining is None:
+                host.draining = "not needed"
+
+    async def _rent_all(self, wanted: list[Rent]) -> None:
+        try:
+            rentals = []
+            for rent in wanted:
+                self._rentals += 1
+                # Token and count: no name is reused, by any leader.
+                name = RentalId(f"r-{self.token}-{self._rentals}")
+                offer = rent.offer
+                rentals.append(Rental(name, offer.type, offer.zone, offer.spot, rent.number))
+            await self.recorder.record_rentals(rentals)
+            async with asyncio.TaskGroup() as group:
+                for rental in rentals:
+                    group.create_task(self._rent(rental))
+        finally:
+            self._renting = False
+
+    async def _rent(self, rental: Rental) -> None:
+        offer = Offer(rental.type, rental.zone, rental.spot)
+        while True:
+            try:
+                hosts = await self.cloud.rent(rental)
+                break
+            except NoCapacity:
+                log.info("rental %s: no capacity for %s", rental.id, offer)
+                hosts = []
+                break
+            except TROUBLE as error:
+                log.info("rental %s: %s", rental.id, error)
+                await asyncio.sleep(RETRY_S)
+        log.info("rental %s: %s gives %d of %d", rental.id, offer, len(hosts), rental.number)
+        if len(hosts) < rental.number:
+            self.refused[offer] = self.now()
+        for host in hosts:
+            if host not in self.ledger.hosts and host not in self.ledger.gone:
+                self.ledger.add_host(
+                    host, rental.type, rental.zone, rental.spot, "", self.now()
+                )
+        self.on_change()
+        self.spawn(self._forget(rental, listed=bool(hosts)))
+
+    async def _forget(self, rental: Rental, listed: bool) -> None:
+        """Machines go on record once they are up. Until the list shows them, the rental is
+        what a next leader has to go by: repeated, it names them and rents nothing."""
+        if listed:
+            await asyncio.sleep(SURE_LAGS * self.settings.list_lag_s)
+        self.recorder.end_rental(rental.id)
+
+    # -- listing -------------------------------------------------------------------------
+
+    async def _list_machines(self) -> None:
+        while True:
+            asked = self.now()
+            pages = 1
+            try:
+                found = await self.cloud.machines()
+            except (*TROUBLE, NoCapacity, ValueError) as error:
+                log.info("machine list: %s", error)
+            else:
+                pages += len(found) // MAX_LIST
+                self._take_list(found, asked)
+            await asyncio.sleep(max(LIST_GAP_S, pages / (LIST_SHARE * self.settings.cloud_rps)))
+
+    def _take_list(self, found: list[Listed], asked: MonotonicTime) -> None:
+        self.listed = {item.host: item for item in found}
+        for item in found:
+            host = self.ledger.hosts.get(item.host)
+            if host is not None:
+                host.address = host.address or item.address
+                continue
+            if item.host in self.ledger.gone or item.phase is HostPhase.RUNNING:
+                continue  # its worker reports by itself, or it is gone already
+            # A rental whose answer was lost, or that was carried out late: it costs money.
+            log.info("host %s is listed as %s unexpectedly", item.host, item.phase.value)
+            self.ledger.add_host(
+                item.host, item.type, item.zone, item.spot, item.address, self.now()
+            )
+        sure = SURE_LAGS * self.settings.list_lag_s
+        for host in list(self.ledger.hosts.values()):
+            if (
+                host.id not in self.listed
+                and not host.known
+                and not host.deleting
+                and host.fed_at is None
+                and asked > host.created_at + sure
+            ):
+                # Once listed, a machine stays listed until it is gone, and a list is never
+                # older than twice its lag: this one is not booting, nor silent, but gone.
+                log.info("host %s is gone: it is not listed any more", host.id)
+                self._gone(host.id)
+                self.on_change()
--- a/dunehold/coordination/intake.py
+++ b/dunehold/coordination/intake.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -24,8 +25,11 @@
 log = logging.getLogger(__name__)
 
 BUSY = Response(503, users.encode_error("try again later"), retry_after=1)
+OUTAGE = Response(503, users.encode_error("the state service does not answer"), retry_after=2)
+LONGEST_QUEUE_S = 0.5  # for the write budget; who would wait longer is told at once
 NOT_FOUND = Response(404, users.encode_error("no such job"))
 MAX_PENDING = 2000
+MAX_RETRY_S = 10
 CANCEL_TRIES = 4
 
 
@@ -102,6 +106,8 @@
     async def _get(self, job: JobId) -> Response:
         record = self.view.jobs.get(job)
         if record is None or not record.phase.final:
+            if self.sync.failing():
+                return OUTAGE
             try:
                 await self.sync.barrier()
             except TROUBLE:
@@ -132,6 +138,8 @@
         types = self.types()
         if types is None:
             return BUSY
+        if self.sync.failing():
+            return OUTAGE
         try:
             check_possible(spec, self.settings, types)
         except Impossible as error:
@@ -143,8 +151,10 @@
             if spec.id in self.view.jobs:
                 return await self._get(spec.id)
             return Response(422, users.encode_error(str(error)))
-        if len(self._pending) >= MAX_PENDING:
-            return Response(503, users.encode_error("too many submissions"), retry_after=3)
+        queued_s = self.state.writes.wait_s(1.0 + len(self._pending))
+        if len(self._pending) >= MAX_PENDING or queued_s > LONGEST_QUEUE_S:
+            later = min(MAX_RETRY_S, math.ceil(queued_s))
+            return Response(503, users.encode_error("too many at once"), retry_after=later)
         entry = self._pending.get(spec.id)
         if entry is None:
             future: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
@@ -212,6 +222,8 @@
     async def _cancel(self, job: JobId) -> Response:
         for _ in range(CANCEL_TRIES):
             record = self.view.jobs.get(job)
+            if self.sync.failing() and (record is None or not record.phase.final):
+                return OUTAGE
             try:
                 if record is None:
                     await self.sync.barrier()
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -14,7 +14,7 @@
 from dunehold.bookkeeping.view import View
 from dunehold.coordination.estimates import Estimates
 from dunehold.coordination.intake import Intake
-from dunehold.coordination.leader import Leader
+from dunehold.coordination.leader import DIRECT_SOCKET_SHARE, Leader
 from dunehold.coordination.recorder import Recorder
 from dunehold.coordination.sync import TROUBLE, Sync
 from dunehold.protocol import peers, users, workers
@@ -49,12 +49,18 @@
 PEER_SOCKETS = 16
 PEER_TIMEOUT_S = 0.3
 RUNNING_AGE_S = 1.0
-RESERVED_SOCKETS = 200  # for workers' addresses, the state service, the cloud and peers
+RESERVED_SOCKETS = 64  # for the state service, the cloud and peers
 BARRIER_GAP_S = 0.08
 WATCH_GAP_S = 0.1
+BARRIER_COST, WATCH_COST = 2.0, 3.0  # a half and a third of a node's requests at most
 STOP_MARGIN_S = 4.0  # between the end of a lease and the end of cancel_s
 DRIFT = 1.001
 RESERVE_SHARE = 0.9  # of the state service's rates; the rest is for bursts that overlap
+# The leader writes most: machines, rentals and the ends of jobs. The others share what is
+# left, for submissions, cancellations and proofs.
+LEADER_WRITES, LEADER_REQUESTS = 0.6, 0.4
+LEAST_FLUSH_GAP_S, FLUSH_COST = 0.05, 2.0  # most flushes hold two changes or fewer
+CLOUD_SHARE, CLOUD_BURST_S = 0.8, 1.5
 
 
 @dataclass(slots=True)
@@ -81,24 +87,26 @@
 
     def __post_init__(self) -> None:
         settings = self.settings
-        share = RESERVE_SHARE / settings.node_count
+        requests, writes = self._shares(leading=False)
         self.state = StateClient(
             self.connect(settings.state.host, settings.state.port, STATE_LINKS),
             self.connect(settings.state.host, settings.state.port, WATCH_LINKS),
-            Budget(settings.state_rps * share, max(2.0, settings.state_rps * share)),
+            Budget(requests, max(2.0, requests)),
+            Budget(writes, float(settings.txn_ops)),
+        )
+        cloud = self.connect(settings.cloud.host, settings.cloud.port, CLOUD_LINKS)
+        self.cloud = CloudClient(
+            cloud,
             Budget(
-                settings.state_write_rps * share,
-                max(float(settings.txn_ops), settings.state_write_rps * share),
+                settings.cloud_rps * CLOUD_SHARE, max(2.0, settings.cloud_rps * CLOUD_BURST_S)
             ),
         )
-        cloud = self.connect(settings.cloud.host, settings.cloud.port, CLOUD_LINKS)
-        self.cloud = CloudClient(cloud, Budget(settings.cloud_rps * 0.8, 2.0))
         self.sync = Sync(
             self.state,
             self.view,
             self._on_change,
-            Duration(BARRIER_GAP_S),
-            Duration(WATCH_GAP_S),
+            Duration(max(BARRIER_GAP_S, BARRIER_COST / requests)),
+            Duration(max(WATCH_GAP_S, WATCH_COST / requests)),
         )
         self.intake = Intake(
             settings,
@@ -110,6 +118,25 @@
             self.wall,
         )
 
+    def _shares(self, leading: bool) -> tuple[float, float]:
+        """This node's part of the state service's requests and changes a second."""
+        settings = self.settings
+        requests, writes = LEADER_REQUESTS, LEADER_WRITES
+        if settings.node_count == 1:
+            requests = writes = 1.0
+        elif not leading:
+            others = settings.node_count - 1
+            requests, writes = (1.0 - requests) / others, (1.0 - writes) / others
+        return (
+            settings.state_rps * RESERVE_SHARE * requests,
+            settings.state_write_rps * RESERVE_SHARE * writes,
+        )
+
+    def _take_share(self, leading: bool) -> None:
+        requests, writes = self._shares(leading)
+        self.state.requests.set_rate(requests, max(2.0, requests))
+        self.state.writes.set_rate(writes, max(float(self.settings.txn_ops), writes))
+
     @property
     def feed_limit_s(self) -> Duration:
         """How long leases are fed without proof: what follows must end within cancel_s."""
@@ -124,7 +151,8 @@
 
     async def run(self) -> None:
         settings = self.settings
-        server = HttpServer(self.handle, max(16, settings.sockets - RESERVED_SOCKETS))
+        reserved = RESERVED_SOCKETS + int(settings.sockets * DIRECT_SOCKET_SHARE)
+        server = HttpServer(self.handle, max(16, settings.sockets - reserved))
         await server.start(settings.listen.host, settings.listen.port)
         peer_server = HttpServer(self.handle_peer, PEER_SOCKETS)
         await peer_server.start(settings.peer_listen.host, settings.peer_listen.port)
@@ -318,7 +346,6 @@
             self.view,
             token,
             self.now(),
-            self.leader_version,
             settings.teams,
             self.types,
             settings.lease_s,
@@ -332,6 +359,8 @@
             ledger,
             self.leader_version,
             lambda: self.leader.make_dirty() if self.leader is not None else None,
+            lambda hosts: self.leader.starts_logged(hosts) if self.leader is not None else None,
+            max(LEAST_FLUSH_GAP_S, FLUSH_COST / self._shares(leading=True)[1]),
         )
         self.leader = Leader(
             settings,
@@ -355,6 +384,7 @@
             len(self.view.active),
             len(self.view.hosts),
         )
+        self._take_share(leading=True)
         self.leader.start()
 
     async def _renew(self) -> None:
@@ -391,4 +421,5 @@
         self.lease = None
         self.lease_until = MonotonicTime(-1e9)
         leader.stop()
+        self._take_share(leading=False)
         self._election.set()
--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture.py
@@ -19,6 +19,7 @@
     EPSILON,
     MANY,
     NO_ROOM,
+    AttemptId,
     HostId,
     JobId,
     Kind,
@@ -45,12 +46,24 @@
 
     spec: JobSpec
     waiting: set[int]
+    limits: list[float] = field(default_factory=list)  # when its aims want it complete
+    start_limit: float = MANY  # when its class wants it started
     errors: int = 0
     finished: int = 0
     error_hosts: set[HostId] = field(default_factory=set)
     held_until: MonotonicTime = MonotonicTime(-1e9)
 
 
+@dataclass(slots=True)
+class _Pictured:
+    """A machine as plans see it, good for its version of the books and until a moment."""
+
+    host: Host
+    version: int
+    until: float
+    state: HostState
+
+
 @dataclass(slots=True)
 class Picture:
     settings: Settings
@@ -61,6 +74,20 @@
     weighed_at: MonotonicTime = MonotonicTime(0.0)
     peaks: deque[tuple[float, float]] = field(default_factory=deque)  # (when, cpus wanted)
 
+    scarcity: dict[TypeName, float] = field(default_factory=dict)
+    guaranteed: set[JobId] | None = None  # None: to be counted anew
+    _states: dict[HostId, _Pictured] = field(default_factory=dict)
+
+    def progress(self, record: JobRecord) -> JobProgress:
+        spec = record.spec
+        assert spec is not None
+        aims = self.settings.objectives
+        limits = sorted(limit for a in aims if (limit := _finish_limit(a, spec)) is not None)
+        waits = [a.within_s for a in aims if a.kind == "wait" and a.job_class == spec.job_class]
+        return JobProgress(
+            spec, unfinished(record, self.ledger), limits, min(waits, default=MANY)
+        )
+
     # -- for the scheduler -----------------------------------------------------------
 
     def snapshot(
@@ -69,33 +96,54 @@
         now: MonotonicTime,
         wall: WallTime,
     ) -> Snapshot:
-        guaranteed = self._guaranteed_jobs()
-        borrowed = self._borrowed_runs()
-        hosts = [
-            self._host_state(host, borrowed, now)
-            for host in self.ledger.hosts.values()
-            if host.draining is None
-            and not host.deleting
-            and not host.fenced
-            and host.type in self.types
-        ]
+        if self.guaranteed is None:
+            self.guaranteed = self._guaranteed_jobs(jobs)
         entries = []
-        for record in self.ledger.view.active.values():
-            progress = jobs.get(record.id)
-            if progress is None or not progress.waiting or now < progress.held_until:
+        for job, progress in jobs.items():
+            if not progress.waiting or now < progress.held_until:
                 continue
-            if progress.spec.kind is Kind.GANG and record.id in self.ledger.by_job:
+            record = self.ledger.view.active.get(job)
+            if record is None:
+                continue
+            if progress.spec.kind is Kind.GANG and job in self.ledger.by_job:
                 continue  # what is left of it ends by itself; then all start anew
-            if self.ledger.may_start_job(record):
-                entries.append(self._entry(record, progress, record.id in guaranteed, wall))
-        self._weigh(hosts, jobs, now)
+            entries.append(self._entry(record, progress, job in self.guaranteed, wall))
         team_room = {}
         for team in self.settings.teams.values():
             if team.limit_cpus is not None or team.limit_gpus is not None:
                 use = self.ledger.team_use(team.name)
                 limit = Room(team.limit_cpus or math.inf, team.limit_gpus or math.inf, math.inf)
                 team_room[team.name] = limit.minus(use)
-        return Snapshot(hosts, entries, team_room)
+        return Snapshot(
+            self.host_states(now),
+            entries,
+            team_room,
+            now=now,
+            scarcity=self.scarcity,
+            borrowed=self._borrowed_runs,
+        )
+
+    def host_states(self, now: MonotonicTime) -> list[HostState]:
+        """Usable machines. What was pictured is used again until something changes."""
+        hosts = []
+        for host in self.ledger.hosts.values():
+            if host.draining is not None or host.deleting or host.fenced:
+                continue
+            pictured = self._states.get(host.id)
+            if (
+                pictured is None
+                or pictured.host is not host
+                or pictured.version != host.version
+                or now >= pictured.until
+            ):
+                if host.type not in self.types:
+                    continue
+                pictured = self._pictured(host, now)
+                self._states[host.id] = pictured
+            hosts.append(pictured.state)
+        if len(self._states) > 2 * len(self.ledger.hosts) + 100:
+            self._states = {h: s for h, s in self._states.items() if h in self.ledger.hosts}
+        return hosts
 
     def _entry(
         self,
@@ -111,67 +159,76 @@
         def allowed(host: HostState) -> bool:
             return host_allowed(spec, host.type, host.zone, host.spot)
 
+        gang = spec.kind is Kind.GANG
+        tasks = progress.waiting if gang else islice(progress.waiting, TASKS_A_PLAN)
         return Entry(
             job=spec.id,
             team=spec.team,
             need=spec.need,
             rank=spec.rank,
-            order=(self._slack_to_next_aim(spec, waited, run_s), record.accepted_at),
-            waiting=list(
-                progress.waiting
-                if spec.kind is Kind.GANG
-                else islice(progress.waiting, TASKS_A_PLAN)
-            ),
+            order=(self._slack_to_next_aim(progress, waited, run_s), record.accepted_at),
+            waiting=list(tasks),
             run_s=run_s,
             image=spec.image,
             image_gb=spec.image_gb,
             allowed=allowed,
             service=spec.kind is Kind.SERVICE,
-            gang=spec.kind is Kind.GANG,
+            gang=gang,
             guaranteed=guaranteed,
-            patience_s=self._patience(spec, waited, run_s, guaranteed),
+            patience_s=self._patience(progress, waited, run_s, guaranteed),
             zone_limit=(spec.tasks + 1) // 2 if spec.spread else None,
             one_zone=spec.one_zone,
-            zones=self.ledger.job_zones(spec.id),
+            zones=dict(self.ledger.job_zones(spec.id)),
         )
 
-    def _slack_to_next_aim(self, spec: JobSpec, waited: float, run_s: float) -> float:
+    @staticmethod
+    def _slack_to_next_aim(progress: JobProgress, waited: float, run_s: float) -> float:
         """Time to spare before the next aim that the job can still meet.
 
         A job that has missed its aims steps down to a multiple of the last one: it lets
         those pass that can still be in time, and rises again as that rung comes near, so
         nothing waits for ever.
         """
-        limits = [
-            limit
-            for aim in self.settings.objectives
-            if (limit := _finish_limit(aim, spec)) is not None
-        ]
-        limits.sort()
-        if not limits:
-            limits = [max(DEFAULT_LIMIT_S, DEFAULT_LIMIT_RUNS * run_s)]
-        while True:
-            for limit in limits:
-                if limit >= waited + run_s:
-                    return limit - waited - run_s
-            limits = [limits[-1] * LADDER + 1.0]
-
-    def _patience(self, spec: JobSpec, waited: float, run_s: float, guaranteed: bool) -> float:
+        limits = progress.limits or [max(DEFAULT_LIMIT_S, DEFAULT_LIMIT_RUNS * run_s)]
+        needed = waited + run_s
+        for limit in limits:
+            if limit >= needed:
+                return limit - needed
+        limit = limits[-1]
+        while limit < needed:
+            limit = limit * LADDER + 1.0
+        return limit - needed
+
+    def _patience(
+        self, progress: JobProgress, waited: float, run_s: float, guaranteed: bool
+    ) -> float:
         """How long it can still wait without missing an aim that can still be met."""
-        slacks = []
-        for aim in self.settings.objectives:
-            slack = _slack(aim, spec, waited, run_s, guaranteed)
-            if slack is not None and slack >= 0:
-                slacks.append(slack)
-        return min(slacks, default=MANY)
-
-    def _host_state(self, host: Host, borrowed: set[int], now: MonotonicTime) -> HostState:
+        slacks = [progress.start_limit - waited]
+        slacks.extend(limit - waited - run_s for limit in progress.limits)
+        if guaranteed:
+            slacks.append(self.guarantee_s - waited)
+        return min((slack for slack in slacks if slack >= 0), default=MANY)
+
+    @property
+    def guarantee_s(self) -> float:
+        aims = [a.within_s for a in self.settings.objectives if a.kind == "guarantee"]
+        return min(aims, default=MANY)
+
+    def _pictured(self, host: Host, now: MonotonicTime) -> _Pictured:
         kind = self.types[host.type]
+        until = math.inf
         ready = 0.0
-        if not host.known or host.id not in self.ledger.view.hosts:
-            ready = max(1.0, host.created_at + kind.boot_s - now)
-        suspect = host.error_at is not None and now - host.error_at < SUSPECT_S
-        return HostState(
+        if not host.known or not host.recorded:
+            ready = max(now + 1.0, host.created_at + kind.boot_s)
+            until = now  # it may be up any moment: look again
+        penalty = 0.0
+        if host.error_at is not None and now - host.error_at < SUSPECT_S:
+            penalty = SUSPECT_PENALTY_S
+            until = min(until, host.error_at + SUSPECT_S)
+        runs = tuple(self._run_state(run, now) for run in host.runs.values() if run.occupies)
+        for run in runs:
+            until = min(until, run.ends_at)  # it overruns from then on
+        state = HostState(
             host.id,
             host.type,
             host.zone,
@@ -180,12 +237,13 @@
             host.free,
             frozenset(host.images),
             kind.fetch_gb_per_s,
-            [self._run_state(run, borrowed, now) for run in host.runs.values() if run.occupies],
+            runs,
             ready,
-            penalty_s=SUSPECT_PENALTY_S if suspect else 0.0,
+            penalty,
         )
+        return _Pictured(host, host.version, until, state)
 
-    def _run_state(self, run: Run, borrowed: set[int], now: MonotonicTime) -> RunState:
+    def _run_state(self, run: Run, now: MonotonicTime) -> RunState:
         record = self.ledger.view.jobs.get(run.id.task.job)
         spec = record.spec if record is not None else None
         ran = 0.0 if run.running_at is None else now - run.running_at
@@ -195,29 +253,31 @@
         return RunState(
             run.id,
             run.need,
-            ends,
-            ran,
+            now + ends,
+            now - ran,
             run.tier,
             spec.rank if spec is not None else Rank.LOW,
             run.team,
-            borrowed=id(run) in borrowed,
             stopping=run.stop_grace is not None,
             gang=spec is not None and spec.kind is Kind.GANG,
             saves=spec is not None and spec.checkpoint_s > 0,
         )
 
-    def _guaranteed_jobs(self) -> set[JobId]:
+    def _guaranteed_jobs(self, jobs: dict[JobId, JobProgress]) -> set[JobId]:
         """Jobs that fit their team's guarantee together with its earlier unfinished jobs."""
         found: set[JobId] = set()
+        if not any(t.guarantee.cpus or t.guarantee.gpus for t in self.settings.teams.values()):
+            return found
         sums: dict[Team, Room] = {}
-        for record in sorted(self.ledger.view.active.values(), key=lambda r: r.accepted_at):
-            spec = record.spec
-            team = self.settings.teams.get(spec.team) if spec is not None else None
-            if spec is None or team is None:
-                continue
-            if team.guarantee.cpus <= 0 and team.guarantee.gpus <= 0:
+        active = self.ledger.view.active
+        records = [active[job] for job in jobs if job in active]
+        for record in sorted(records, key=lambda r: r.accepted_at):
+            progress = jobs[record.id]
+            spec = progress.spec
+            team = self.settings.teams.get(spec.team)
+            if team is None or (team.guarantee.cpus <= 0 and team.guarantee.gpus <= 0):
                 continue
-            left = spec.tasks - record.done_count()
+            left = len(progress.waiting) + len(self.ledger.by_job.get(record.id, ()))
             need = spec.need
             total = sums.get(spec.team, NO_ROOM).plus(
                 Room(need.cpus * left, need.gpus * left, 0.0)
@@ -227,47 +287,49 @@
                 found.add(spec.id)
         return found
 
-    def _borrowed_runs(self) -> set[int]:
+    def _borrowed_runs(self) -> set[AttemptId]:
         """Runs beyond their team's guarantee, the latest started first to go."""
+        over = {
+            team.name: team.guarantee
+            for team in self.settings.teams.values()
+            if not team.guarantee.holds(self.ledger.team_use(team.name)._replace(memory_gb=0.0))
+        }
         by_team: dict[Team, list[Run]] = {}
-        for host in self.ledger.hosts.values():
-            for run in host.runs.values():
-                if run.occupies:
+        for runs in self.ledger.present.values():
+            for run in runs:
+                if run.team in over:
                     by_team.setdefault(run.team, []).append(run)
-        borrowed: set[int] = set()
-        for name, runs in by_team.items():
-            team = self.settings.teams.get(name)
-            if team is None:
-                continue
+        borrowed: set[AttemptId] = set()
+        for name, found in by_team.items():
+            guarantee = over[name]
             total = NO_ROOM
-            for run in sorted(runs, key=lambda r: r.planned_at):
+            for run in sorted(found, key=lambda r: r.planned_at):
                 total = total.plus(run.need)
-                if total.cpus > team.guarantee.cpus + EPSILON or (
-                    total.gpus > team.guarantee.gpus + EPSILON
+                if total.cpus > guarantee.cpus + EPSILON or (
+                    total.gpus > guarantee.gpus + EPSILON
                 ):
-                    borrowed.add(id(run))
+                    borrowed.add(run.id)
         return borrowed
 
-    def _weigh(
-        self, hosts: list[HostState], jobs: dict[JobId, JobProgress], now: MonotonicTime
-    ) -> None:
+    def weigh(self, jobs: dict[JobId, JobProgress], now: MonotonicTime) -> None:
         """Scarcity: how much of a type's room goes to work that fits no other type.
 
         Lately, not just now: such work comes again, and room that is filled with work that
         could run elsewhere is not there for it.
         """
         room: dict[TypeName, float] = {}
-        for host in hosts:
-            room[host.type] = room.get(host.type, 0.0) + host.total.cpus
+        for host in self.ledger.hosts.values():
+            if host.draining is None and not host.deleting and host.type in self.types:
+                room[host.type] = room.get(host.type, 0.0) + host.room.cpus
         wanted: dict[frozenset[TypeName], float] = {}
-        for progress in jobs.values():
+        for job, progress in jobs.items():
             spec = progress.spec
             fits = frozenset(name for name in room if self.types[name].room.holds(spec.need))
             if spec.types is not None:
                 fits &= frozenset(spec.types)
             if fits and len(fits) < len(room):
-                left = (spec.tasks - progress.finished) * spec.need.cpus
-                wanted[fits] = wanted.get(fits, 0.0) + left
+                left = len(progress.waiting) + len(self.ledger.by_job.get(job, ()))
+                wanted[fits] = wanted.get(fits, 0.0) + left * spec.need.cpus
         fade = 0.5 ** ((now - self.weighed_at) / SCARCITY_HALF_LIFE_S)
         self.weighed_at = now
         for fits in {*wanted, *self.wanted}:
@@ -277,40 +339,32 @@
             have = sum(room.get(name, 0.0) for name in fits)
             for name in fits:
                 load[name] = max(load.get(name, 0.0), min(1.0, cpus / max(have, 1.0)))
-        for host in hosts:
-            host.scarcity = load.get(host.type, 0.0)
+        self.scarcity = load
 
     # -- for the autoscaler ------------------------------------------------------------
 
     def fleet(self, now: MonotonicTime) -> list[FleetHost]:
+        """Machines that work can be planned for, and what frees up on them soon."""
         found = []
-        for host in self.ledger.hosts.values():
-            if host.type not in self.types or host.deleting or host.fenced:
-                continue
-            usable = host.draining is None
-            freed = []
-            for run in host.runs.values():
-                if run.occupies:
-                    record = self.ledger.view.jobs.get(run.id.task.job)
-                    ran = 0.0 if run.running_at is None else now - run.running_at
-                    if record is not None and record.spec is not None:
-                        freed.append((self.estimates.left_s(record.spec, ran), run.need))
+        for state in self.host_states(now):
+            host = self.ledger.hosts[state.id]
             idle = None if host.idle_since is None else now - host.idle_since
+            freed = [(run.ends_at - now, run.need) for run in state.runs]
             offer = Offer(host.type, host.zone, host.spot)
-            found.append(FleetHost(host.id, offer, host.room, host.free, freed, idle, usable))
+            found.append(FleetHost(host.id, offer, host.room, host.free, freed, idle))
         return found
 
     def demands(self, jobs: dict[JobId, JobProgress], now: MonotonicTime) -> list[Demand]:
         found = []
-        ordered = sorted(
-            self.ledger.view.active.values(),
-            key=lambda r: (-(r.spec.rank if r.spec else 0), r.accepted_at),
-        )
+        active = self.ledger.view.active
+        waiting = [
+            (-progress.spec.rank, active[job].accepted_at, job)
+            for job, progress in jobs.items()
+            if progress.waiting and now >= progress.held_until and job in active
+        ]
         room: dict[Team, float] = {}
-        for record in ordered:
-            progress = jobs.get(record.id)
-            if progress is None or not progress.waiting or now < progress.held_until:
-                continue
+        for *_, job in sorted(waiting):
+            progress = jobs[job]
             spec = progress.spec
             tasks = len(progress.waiting)
             team = self.settings.teams.get(spec.team)
@@ -330,7 +384,7 @@
     def kept_cpus(self, demands: list[Demand], now: MonotonicTime) -> float:
         """The most CPUs wanted at once lately, and some headroom."""
         memory = self.settings.operator.demand_memory_s
-        wanted = sum(host.used.cpus for host in self.ledger.hosts.values())
+        wanted = sum(use.cpus for use in self.ledger.use.values())
         wanted += sum(demand.need.cpus * demand.tasks for demand in demands)
         while self.peaks and self.peaks[0][0] < now - memory:
             self.peaks.popleft()
@@ -347,17 +401,6 @@
     return allowed
 
 
-def _slack(
-    aim: Objective, spec: JobSpec, waited: float, run_s: float, guaranteed: bool
-) -> float | None:
-    if aim.kind == "guarantee":
-        return aim.within_s - waited if guaranteed else None
-    if aim.kind == "wait" and aim.job_class == spec.job_class:
-        return aim.within_s - waited
-    limit = _finish_limit(aim, spec)
-    return None if limit is None else limit - waited - run_s
-
-
 def _finish_limit(aim: Objective, spec: JobSpec) -> float | None:
     """When the aim wants the job complete, from its submission."""
     if aim.job_class != spec.job_class:
@@ -376,5 +419,7 @@
     return {
         index
         for index in range(spec.tasks)
-        if not ledger.is_done(record, index) and TaskId(record.id, index) not in ledger.present
+        if not ledger.is_done(record, index)
+        and TaskId(record.id, index) not in ledger.present
+        and not ledger.may_run_unseen(TaskId(record.id, index))
     }
--- a/dunehold/coordination/recorder.py
+++ b/dunehold/coordination/recorder.py
@@ -3,24 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping import records
-from dunehold.bookkeeping.ledger import Ledger
+from dunehold.bookkeeping.ledger import Ledger, Run
 from dunehold.bookkeeping.records import HostRecord, JobRecord
-from dunehold.bookkeeping.view import View
+from dunehold.bookkeeping.view import VERSIONED, View
 from dunehold.coordination.sync import TROUBLE, Sync
 from dunehold.protocol.cloud import Rental
-from dunehold.protocol.state import MAX_TXN_BYTES, Priority, StateClient, Txn, TxnResult
+from dunehold.protocol.state import ABSENT, MAX_TXN_BYTES, Priority, StateClient, Txn
 from dunehold.settings import Settings
-from dunehold.types import HostId, JobId, RentalId, Revision
+from dunehold.transport.http import NoResponse
+from dunehold.types import AttemptId, HostId, JobId, RentalId, Revision
 
 log = logging.getLogger(__name__)
 
-FLUSH_GAP_S = 0.05
 RETRY_S = 0.3
+MARK_DELAY_S = 20.0
+MAX_PAGE_HOSTS = 500
 
 
 class Deposed(Exception):
@@ -42,21 +45,51 @@
     ledger: Ledger
     leader_version: Revision
     on_written: Callable[[], None]
-    dirty_jobs: set[JobId] = field(default_factory=set)
+    on_logged: Callable[[set[HostId]], None]
+    flush_gap_s: float
+    dirty_jobs: dict[JobId, None] = field(default_factory=dict)
+    unmarked: dict[JobId, float] = field(default_factory=dict)  # when their marks are due
     dirty_hosts: set[HostId] = field(default_factory=set)
     new_rentals: dict[RentalId, Rental] = field(default_factory=dict)
     ended_rentals: set[RentalId] = field(default_factory=set)
+    starts: dict[AttemptId, Run] = field(default_factory=dict)
+    _in_doubt: set[str] = field(default_factory=set)  # keys with a write that may come late
+    _slot: int = 0  # of the log of starts, written next
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _written: asyncio.Event = field(default_factory=asyncio.Event)
 
-    def job(self, job: JobId) -> None:
-        self.dirty_jobs.add(job)
-        self._wake.set()
+    def job(self, job: JobId, whole: bool) -> None:
+        """The end of a job is written at once, the marks of one that goes on some time later.
+
+        Until a mark is durable, the machine's report keeps the result; without either the
+        task is only asked for once more, and its worker kept what it had done.
+        """
+        if whole:
+            self.unmarked.pop(job, None)
+            self.dirty_jobs[job] = None
+            self._wake.set()
+        elif job not in self.dirty_jobs and job not in self.unmarked:
+            loop = asyncio.get_running_loop()
+            self.unmarked[job] = loop.time() + MARK_DELAY_S
+
+    def _take_due(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for job, due in list(self.unmarked.items()):
+            if due > now:
+                return  # they are in the order in which they came
+            del self.unmarked[job]
+            self.dirty_jobs[job] = None
 
     def host(self, host: HostId) -> None:
         self.dirty_hosts.add(host)
         self._wake.set()
 
+    def log_start(self, run: Run) -> None:
+        """Commanded only once it is in the log: a next leader then knows which tasks a
+        silent machine may have, and need not wait for that machine to place all others."""
+        self.starts[run.id] = run
+        self._wake.set()
+
     def end_rental(self, rental: RentalId) -> None:
         self.ended_rentals.add(rental)
         self._wake.set()
@@ -73,28 +106,37 @@
 
     async def run(self) -> None:
         while True:
-            await self._wake.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await self._wake.wait()
             self._wake.clear()
+            self._take_due()
             while self._pending():
                 try:
                     await self._flush()
-                    await asyncio.sleep(FLUSH_GAP_S)
+                    await asyncio.sleep(self.flush_gap_s)
                 except TROUBLE as error:
                     log.debug("records not written yet: %s", error)
                     await asyncio.sleep(RETRY_S)
 
     def _pending(self) -> bool:
         return bool(
-            self.dirty_jobs or self.dirty_hosts or self.new_rentals or self.ended_rentals
+            self.starts
+            or self.dirty_jobs
+            or self.dirty_hosts
+            or self.new_rentals
+            or self.ended_rentals
         )
 
     async def _flush(self) -> None:
         txn = Txn(guards={records.LEADER_KEY: self.leader_version})
         limit = self.settings.txn_ops
-        rentals = [r for r in self.new_rentals.values()][: max(1, limit // 2)]
+        logged = self._log(txn, max(1, limit // 2))
+        rentals = [r for r in self.new_rentals.values()][: max(1, (limit - txn.size) // 2)]
         for rental in rentals:
             txn.puts[records.RENTALS + rental.id] = records.encode_rental(rental)
-        hosts = self._host_changes(txn, limit)
+        included: set[HostId] = set()
+        hosts = self._host_changes(txn, limit, included)
         ended = []
         for name in list(self.ended_rentals):
             if txn.size < limit:
@@ -108,38 +150,112 @@
             if self._job_change(txn, job, limit - txn.size):
                 jobs.append(job)
         if txn.size:
-            result = await self.state.txn(txn, Priority.LEADER)
-            await self._after(result, txn)
+            keys = {*txn.puts, *txn.deletes}
+            for key in keys:
+                if key.startswith(VERSIONED):
+                    txn.guards[key] = self.view.versions.get(key, ABSENT)
+            try:
+                result = await self.state.txn(txn, Priority.LEADER)
+            except NoResponse:
+                self._in_doubt |= keys
+                raise
+            if not result.ok and records.LEADER_KEY in result.failed:
+                raise Deposed
+            if result.ok:
+                self._in_doubt -= keys
+                log.debug("recorded %d changes at revision %d", txn.size, result.revision)
+                self._logged(logged)
+                for host_id in included:
+                    host = self.ledger.hosts.get(host_id)
+                    if host is not None:
+                        host.recorded = True
+            if not result.ok or len(txn.puts) + len(txn.deletes) > self._log_keys(txn):
+                # What else was written shows in the view once that has caught up.
+                await self.sync.barrier(urgent=True)
             if not result.ok:
                 return
         for rental in rentals:
             self.new_rentals.pop(rental.id, None)
         self.ended_rentals.difference_update(ended)
-        self.dirty_hosts.difference_update(hosts)
-        self.dirty_jobs.difference_update(jobs)
+        for host_id in hosts:
+            # What changed while this was under way is still to be written.
+            if self._wanted_host(host_id) == self.view.hosts.get(host_id):
+                self.dirty_hosts.discard(host_id)
         for job in jobs:
+            self.dirty_jobs.pop(job, None)
             if job in self.view.active and self._job_differs(job):
-                self.dirty_jobs.add(job)
+                self.job(job, self._finished(self.view.active[job]))
         self._written.set()
         self.on_written()
 
-    async def _after(self, result: TxnResult, txn: Txn) -> None:
-        if not result.ok and records.LEADER_KEY in result.failed:
-            raise Deposed
-        await self.sync.barrier(urgent=True)
-        if result.ok:
-            log.debug("recorded %d changes at revision %d", txn.size, result.revision)
+    # -- starts ----------------------------------------------------------------------
+
+    @staticmethod
+    def _log_keys(txn: Txn) -> int:
+        return sum(key.startswith(records.STARTS) for key in txn.puts)
+
+    def _log(self, txn: Txn, slots: int) -> list[Run]:
+        """Put what is to be started into the next slots of the ring.
+
+        What a slot held before and may still be on its machine goes along.
+        """
+        taken: list[Run] = []
+        waiting = [run for run in self.starts.values() if self._planned(run)]
+        for run in list(self.starts.values()):
+            if not self._planned(run):
+                del self.starts[run.id]
+        room = self.settings.value_bytes * 3 // 4
+        for number in range(slots):
+            if not waiting:
+                break
+            slot = (self._slot + number) % records.START_SLOTS
+            placed: records.Placed = {}
+            for host, tasks in self.view.starts.get(slot, {}).items():
+                kept = {task for task in tasks if self.ledger.still_there(host, task)}
+                if kept:
+                    placed[host] = kept
+            size = sum(records.starts_bytes(tasks) for tasks in placed.values())
+            while waiting and size < room:
+                run = waiting.pop()
+                tasks = placed.setdefault(run.host, set())
+                size -= records.starts_bytes(tasks) if tasks else 0
+                tasks.add(run.id.task)
+                size += records.starts_bytes(tasks)
+                taken.append(run)
+            txn.puts[f"{records.STARTS}{slot}"] = records.encode_starts(placed)
+        # An unanswered write may still come: its slot is not used again before the next round.
+        self._slot = (self._slot + self._log_keys(txn)) % records.START_SLOTS
+        return taken
+
+    def _planned(self, run: Run) -> bool:
+        host = self.ledger.hosts.get(run.host)
+        return host is not None and host.runs.get(run.id) is run and run.unsent
+
+    def _logged(self, runs: list[Run]) -> None:
+        if not runs:
+            return
+        hosts = set()
+        for run in runs:
+            self.starts.pop(run.id, None)
+            if self._planned(run):
+                run.logged = True
+                hosts.add(run.host)
+        self.on_logged(hosts)
 
     # -- machines --------------------------------------------------------------------
 
     def _wanted_host(self, host_id: HostId) -> HostRecord | None:
         host = self.ledger.hosts.get(host_id)
-        if host is None:
-            return None
-        return HostRecord(host.id, host.address, host.type, host.zone, host.spot)
+        if host is None or host.fenced:
+            return None  # nothing is on it, and nothing is started before it is back on record
+        return HostRecord(host.id, host.type, host.zone, host.spot)
 
-    def _host_changes(self, txn: Txn, limit: int) -> list[HostId]:
-        capacity = max(1, self.settings.value_bytes // records.HOST_RECORD_BYTES)
+    def _host_changes(self, txn: Txn, limit: int, included: set[HostId]) -> list[HostId]:
+        """Machines that this transaction settles; those that it puts on record."""
+        if not self.dirty_hosts:
+            return []
+        capacity = max(1, self.settings.value_bytes // records.HOST_BYTES)
+        capacity = min(capacity, MAX_PAGE_HOSTS)
         pages = {page: dict(rows) for page, rows in self.view.host_pages.items()}
         where = {host: page for page, rows in pages.items() for host in rows}
         touched: set[int] = set()
@@ -147,7 +263,10 @@
         for host_id in self.dirty_hosts:
             wanted = self._wanted_host(host_id)
             page = where.get(host_id)
-            if wanted == self.view.hosts.get(host_id):
+            in_doubt = page is not None and f"{records.HOSTS}{page}" in self._in_doubt
+            if wanted == self.view.hosts.get(host_id) and not in_doubt:
+                if wanted is not None:
+                    self.ledger.hosts[host_id].recorded = True
                 taken.append(host_id)
                 continue
             if page is None:
@@ -159,8 +278,12 @@
             rows = pages.setdefault(page, {})
             if wanted is None:
                 rows.pop(host_id, None)
+                host = self.ledger.hosts.get(host_id)
+                if host is not None:
+                    host.recorded = False  # from here on: this write may come at any time
             else:
                 rows[host_id] = wanted
+                included.add(host_id)
             touched.add(page)
             taken.append(host_id)
         for page in touched:
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -5,10 +5,18 @@
 entries. Step 3 runs what is left in the background tier, in room promised to the head,
 shortest estimate first. Background runs are on the same list, and are lifted in place, or
 moved, when it is their turn.
+
+The tasks of an array are placed together: its machines are looked through once, the best
+first, and each is filled. Room only shrinks while a plan is made, so what found none is
+remembered, and whatever needs as much or more is not looked for again.
 """
 
 from __future__ import annotations
 
+from bisect import bisect_left
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
 from dunehold.coordination.scheduler.model import (
     Entry,
     HostState,
@@ -25,24 +33,41 @@
     Attempt,
     AttemptId,
     HostId,
+    Rank,
     Room,
     TaskId,
     Tier,
+    TypeName,
     Zone,
 )
 
 NEVER = float("inf")
+SOON_S = 0.5
 STICKINESS_S = 5.0
 NO_AIM_S = 1e6
 LONGEST_WAIT_S = 600.0  # stands for waits without an end in sight
 SCARCITY_COST_S = 30.0
+BACKGROUND_CHANCE = 0.5
 PLANNED = Attempt(0)  # stands for attempts that this very plan starts
 
+GroupKey = tuple[TypeName, Zone, bool]
+
+
+@dataclass(slots=True)
+class _Group:
+    """Machines of one type, zone and kind: whether a job may use them is asked once."""
+
+    key: GroupKey
+    sample: HostState
+    scarcity: float
+    hosts: dict[HostId, HostState] = field(default_factory=dict)
+    open: dict[HostId, HostState] = field(default_factory=dict)  # have room for somebody
+
 
 class _Walk:
     def __init__(self, snapshot: Snapshot, policy: Policy) -> None:
         self.policy = policy
-        self.hosts = snapshot.hosts
+        self.now = snapshot.now
         self.entries = sorted(snapshot.entries, key=_list_order)
         self.team_room = dict(snapshot.team_room)
         self.held = {hold.job: hold for hold in snapshot.held}
@@ -50,6 +75,50 @@
         self.claimed: dict[HostId, Room] = {}  # room being cleared for somebody by stops
         self.plan = Plan()
         self.stops_left = policy.stops
+        self.preempting_left = policy.preempting
+        self.snapshot = snapshot
+        self.least_cpus = min((entry.need.cpus for entry in self.entries), default=0.0)
+        self.groups: dict[GroupKey, _Group] = {}
+        self.own: set[HostId] = set()  # machines of which this plan has a copy of its own
+        self.failed: dict[tuple[GroupKey, ...], list[Room]] = {}
+        self.slots: dict[tuple[tuple[GroupKey, ...], Room], list[float]] = {}
+        self.slots_taken: dict[TypeName, int] = {}  # by tasks that wait for such room
+        self._borrowed: set[AttemptId] | None = None
+        self._lowest: Rank | None = None
+        for host in snapshot.hosts:
+            key = (host.type, host.zone, host.spot)
+            group = self.groups.get(key)
+            if group is None:
+                weight = snapshot.scarcity.get(host.type, 0.0)
+                group = self.groups[key] = _Group(key, host, weight)
+            group.hosts[host.id] = host
+            if host.ready_at <= self.now and host.free.cpus >= self.least_cpus - 1e-6:
+                group.open[host.id] = host
+
+    def _all_hosts(self) -> Iterator[HostState]:
+        for group in self.groups.values():
+            yield from group.hosts.values()
+
+    def _group(self, host: HostState) -> _Group:
+        return self.groups[host.type, host.zone, host.spot]
+
+    def _mine(self, host: HostState) -> HostState:
+        """A copy that this plan may write to."""
+        group = self._group(host)
+        if host.id in self.own:
+            return group.hosts[host.id]
+        self.own.add(host.id)
+        copy = group.hosts[host.id] = host.copy()
+        if host.id in group.open:
+            group.open[host.id] = copy
+        return copy
+
+    def _groups_for(self, entry: Entry) -> list[_Group]:
+        return [
+            group
+            for group in self.groups.values()
+            if group.sample.total.holds(entry.need) and entry.allowed(group.sample)
+        ]
 
     # -- steps -----------------------------------------------------------------------
 
@@ -68,7 +137,7 @@
 
     def _start_gang(self, entry: Entry) -> None:
         """Start all its tasks, or hold room for all of them."""
-        zones = {host.zone for host in self.hosts}
+        zones = {group.key[1] for group in self.groups.values()}
         for group in [{zone} for zone in sorted(zones)] + ([] if entry.one_zone else [zones]):
             chosen = self._gang_hosts(entry, group)
             if len(chosen) == len(entry.waiting):
@@ -82,8 +151,8 @@
         """A machine for each task, as far as there are any in these zones."""
         chosen: list[HostState] = []
         per_zone: dict[Zone, int] = {}
-        fitting = [h for h in self.hosts if h.zone in zones and h.ready_s <= 0]
-        for host in sorted(fitting, key=lambda h: h.scarcity):
+        fitting = [h for h in self._all_hosts() if h.zone in zones and h.ready_at <= self.now]
+        for host in sorted(fitting, key=lambda h: self._group(h).scarcity):
             if not self._fits_now(entry, host):
                 continue
             if host.id in self.reserved and not self._backfills(entry, host):
@@ -104,7 +173,8 @@
         left = len(entry.waiting)
         times = [
             (self._fits_at(entry.need, host), host)
-            for host in self.hosts
+            for group in self._groups_for(entry)
+            for host in group.hosts.values()
             if self._suits(entry, host)
         ]
         holds: list[Reservation] = []
@@ -116,9 +186,9 @@
             holds.append(Reservation(entry.job, host.id, entry.need.times(copies), at))
         if left > 0:
             return  # wider than the fleet as it is
-        shadow = max((hold.shadow_s for hold in holds), default=0.0)
+        shadow = max((hold.shadow_at for hold in holds), default=0.0)
         for hold in holds:
-            hold.shadow_s = shadow
+            hold.shadow_at = shadow
             self.plan.reservations.append(hold)
             self.reserved[hold.host] = hold
 
@@ -129,101 +199,194 @@
             ):
                 self._start_gang(entry)
             return
-        blocked_by_head = bool(self.reserved) and not self.policy.backfill
-        while entry.waiting and entry.team_slots > 0 and self._team_allows(entry):
-            host = None if blocked_by_head else self._best_host(entry)
-            if host is None:
-                break
-            self._start(entry, host, Tier.FOREGROUND)
+        if not self.reserved or self.policy.backfill:
+            self._place(entry)
         if not entry.waiting or entry.team_slots <= 0 or not self._team_allows(entry):
             return  # a team at its limit waits for itself, not for room
         self._hold_room(entry)
 
     def _hold_room(self, entry: Entry) -> None:
         """Reserve for the head, and clear room for it where the rules of preemption allow."""
+        head = len(self.reserved) < self.policy.reservations and not entry.service
+        clears = (
+            self.preempting_left > 0
+            and self.stops_left > 0
+            and entry.patience_s < NO_AIM_S
+            and self._could_preempt(entry)
+        )
+        if not head and not clears:
+            return
         shadow, host = self._shadow(entry)
-        if (
-            len(self.reserved) < self.policy.reservations
-            and not entry.service
-            and host is not None
-        ):
+        if head and host is not None:
             hold = Reservation(entry.job, host.id, entry.need, shadow)
             self.plan.reservations.append(hold)
             self.reserved[host.id] = hold
             # The background on that machine makes way as soon as that is all it takes.
             self._evict_background(entry, host)
-        if self.policy.preemption and entry.patience_s < NO_AIM_S:
-            late = min(entry.team_slots, len(entry.waiting)) - self._in_time(entry)
-            for _ in range(late):
-                if self.stops_left <= 0 or not self._preempt(entry, shadow):
-                    break
+        if clears:
+            self.preempting_left -= 1
+            wanted = min(entry.team_slots, len(entry.waiting))
+            late = wanted - self._in_time(entry, wanted)
+            if late > 0:
+                self._preempt(entry, shadow - self.now, late)
 
     def _start_background(self, entry: Entry) -> None:
-        while entry.waiting and entry.team_slots > 0 and self._team_allows(entry):
-            host = self._best_host(entry, background=True)
-            if host is None:
-                return
-            self._start(entry, host, Tier.BACKGROUND)
+        if self.policy.backfill:
+            # Everything else was found to be full on the way here.
+            by_host = [self._host(hold.host) for hold in self.plan.reservations]
+            hosts = [h for h in by_host if h.ready_at <= self.now and entry.allowed(h)]
+        else:
+            hosts = [h for group in self._groups_for(entry) for h in group.open.values()]
+        costs = [
+            self._cost(entry, host)
+            for host in hosts
+            if self._fits_now(entry, host) and self._worth_a_try(entry, host)
+        ]
+        for *_, host in sorted(costs, key=lambda cost: cost[:3]):
+            while self._wanted(entry) and self._fits_now(entry, host):
+                host = self._start(entry, host, Tier.BACKGROUND)
+
+    def _worth_a_try(self, entry: Entry, host: HostState) -> bool:
+        """Estimates are often wrong by half: what needs no more than twice the time until the
+        reservation needs its room may still end before. What needs more is only cut off."""
+        hold = self.reserved.get(host.id)
+        ends_s = (entry.run_s + _fetch_s(entry, host)) * BACKGROUND_CHANCE
+        return hold is None or self.now + ends_s <= hold.shadow_at
+
+    def _host(self, host_id: HostId) -> HostState:
+        return next(g.hosts[host_id] for g in self.groups.values() if host_id in g.hosts)
 
     def _lift_background(self) -> None:
         """Background runs that no reservation needs become foreground where they are."""
+        if not self.policy.lifting:
+            return
         moves = self.policy.moves
-        for host in self.hosts:
+        for host in [host for host in self._all_hosts() if host.background]:
             hold = self.reserved.get(host.id)
             for run in host.runs:
                 if run.tier is not Tier.BACKGROUND or run.stopping:
                     continue
-                if not self.policy.lifting:
-                    continue
+                mine = self._mine(host)
                 if (
                     hold is None
-                    or run.ends_s <= hold.shadow_s
-                    or self._extra(host, hold).holds(run.need)
+                    or run.ends_at <= hold.shadow_at
+                    or self._extra(mine, hold).holds(run.need)
                 ):
-                    run.tier = Tier.FOREGROUND
+                    mine.change(run, replace(run, tier=Tier.FOREGROUND))
                     self.plan.lifts.append(run.id)
                 elif run.saves and moves > 0 and self._free_elsewhere(host, run):
                     moves -= 1
-                    run.stopping = True
+                    mine.change(run, replace(run, stopping=True))
                     self.plan.stops.append(Stop(run.id, host.id, True, "move to foreground"))
 
     # -- placing ---------------------------------------------------------------------
 
-    def _best_host(self, entry: Entry, background: bool = False) -> HostState | None:
-        best: HostState | None = None
-        best_cost: tuple[float, float] = (NEVER, NEVER)
-        for host in self.hosts:
-            if host.ready_s > 0 or not self._fits_now(entry, host):
-                continue
-            if (
-                (host.id in self.reserved)
-                and not background
-                and not self._backfills(entry, host)
-            ):
+    def _place(self, entry: Entry) -> None:
+        """Start as many of its tasks as find room, machine by machine, the best first."""
+        for _, _, _, host in self._candidates(entry):
+            while self._takes(entry, host):
+                # So many do better to leave this room to work that depends on it.
+                if len(entry.waiting) <= self._better_waiting(entry, host):
+                    return self._take_slots(entry)
+                # Once it has the image, the best place for the next is the same machine.
+                host = self._start(entry, host, Tier.FOREGROUND)
+        self._take_slots(entry)
+
+    def _takes(self, entry: Entry, host: HostState) -> bool:
+        return (
+            self._wanted(entry)
+            and self._fits_now(entry, host)
+            and (host.id not in self.reserved or self._backfills(entry, host))
+        )
+
+    def _wanted(self, entry: Entry) -> bool:
+        return bool(entry.waiting) and entry.team_slots > 0 and self._team_allows(entry)
+
+    def _cost(self, entry: Entry, host: HostState) -> tuple[float, float, HostId, HostState]:
+        scarcity = self._group(host).scarcity
+        wait = _fetch_s(entry, host) + SCARCITY_COST_S * scarcity + host.penalty_s
+        return (wait, host.free.cpus - entry.need.cpus, host.id, host)
+
+    def _candidates(self, entry: Entry) -> list[tuple[float, float, HostId, HostState]]:
+        """Machines that could take one of its tasks now, in the order of their cost."""
+        groups = self._groups_for(entry)
+        key = tuple(group.key for group in groups)
+        failures = self.failed.setdefault(key, [])
+        full = any(entry.need.holds(need) for need in failures)
+        if full:
+            places = [self._host(host) for host in self.reserved]
+            hosts = [h for h in places if entry.allowed(h) and h.ready_at <= self.now]
+        else:
+            hosts = [h for group in groups for h in group.open.values()]
+        found = []
+        free_of_holds = False
+        for host in hosts:
+            if not self._fits_now(entry, host):
                 continue
-            left = host.free.cpus - entry.need.cpus
-            wait = _fetch_s(entry, host) + SCARCITY_COST_S * host.scarcity + host.penalty_s
-            cost = (wait, left)
-            if cost < best_cost:
-                best, best_cost = host, cost
-        if (
-            best is not None
-            and not background
-            and self._better_waits(entry, best, best_cost[0])
-        ):
-            return None
-        return best
-
-    def _better_waits(self, entry: Entry, best: HostState, cost: float) -> bool:
-        """Leave room that other work depends on, if other room comes soon enough."""
-        if best.scarcity <= 0.0 or cost <= 0.0:
-            return False
-        for host in self.hosts:
-            if host.scarcity < best.scarcity and self._suits(entry, host):
-                at = self._fits_at(entry.need, host)
-                if at < entry.patience_s and at + SCARCITY_COST_S * host.scarcity < cost:
-                    return True
-        return False
+            if host.id in self.reserved:
+                if not self._backfills(entry, host):
+                    continue
+            else:
+                free_of_holds = True
+            found.append(self._cost(entry, host))
+        if not full and not free_of_holds and not entry.zone_limit and not entry.one_zone:
+            failures.append(entry.need)
+        found.sort(key=lambda cost: cost[:3])
+        return found
+
+    def _better_waiting(self, entry: Entry, best: HostState) -> int:
+        """How many of its tasks soon find room that less other work depends on.
+
+        Room that frees up is counted once: tasks earlier on the list have taken theirs.
+        """
+        scarcity = self._group(best).scarcity
+        if scarcity <= 0.0:
+            return 0
+        cost = self._cost(entry, best)[0]
+        number = 0
+        for kind, groups in self._types_for(entry):
+            weight = groups[0].scarcity
+            if weight < scarcity:
+                limit = min(entry.patience_s, cost - SCARCITY_COST_S * weight)
+                slots = bisect_left(self._slots(entry.need, groups), self.now + limit)
+                number += max(0, slots - self.slots_taken.get(kind, 0))
+        return number
+
+    def _take_slots(self, entry: Entry) -> None:
+        """What waits will take the room that frees up first, the least scarce before."""
+        left = max(0, min(len(entry.waiting), entry.team_slots))
+        for kind, groups in sorted(self._types_for(entry), key=lambda t: t[1][0].scarcity):
+            copies = groups[0].sample.total.copies(entry.need)
+            taken = min(left, copies * sum(len(group.hosts) for group in groups))
+            self.slots_taken[kind] = self.slots_taken.get(kind, 0) + taken
+            left -= taken
+
+    def _types_for(self, entry: Entry) -> list[tuple[TypeName, list[_Group]]]:
+        types: dict[TypeName, list[_Group]] = {}
+        for group in self._groups_for(entry):
+            if self._suits(entry, group.sample):
+                types.setdefault(group.key[0], []).append(group)
+        return list(types.items())
+
+    def _slots(self, need: Room, groups: list[_Group]) -> list[float]:
+        """When room for such a task frees up in the groups, one moment a task, as things
+        stood when this was first asked."""
+        key = (tuple(group.key for group in groups), need)
+        found = self.slots.get(key)
+        if found is None:
+            found = []
+            for host in [host for group in groups for host in group.hosts.values()]:
+                free = host.free
+                fits = free.copies(need)
+                found.extend([max(host.ready_at, self.now)] * fits)
+                for run in sorted(host.runs, key=lambda r: r.ends_at):
+                    free = free.plus(run.need)
+                    more = free.copies(need) - fits
+                    found.extend([max(host.ready_at, run.ends_at)] * more)
+                    fits += more
+            found.sort()
+            self.slots[key] = found
+        return found
 
     def _unclaimed(self, host: HostState) -> Room:
         """Free room that is not being cleared for somebody."""
@@ -247,7 +410,7 @@
         hold = self.reserved[host.id]
         if hold.job == entry.job:
             return True
-        if entry.run_s + _fetch_s(entry, host) <= hold.shadow_s:
+        if self.now + entry.run_s + _fetch_s(entry, host) <= hold.shadow_at:
             return True
         return self._extra(host, hold).holds(entry.need)
 
@@ -256,32 +419,28 @@
         """What is left at the shadow time once the head has its room."""
         room = host.total.minus(hold.need)
         for run in host.runs:
-            if run.tier is Tier.FOREGROUND and run.ends_s > hold.shadow_s:
+            if run.tier is Tier.FOREGROUND and run.ends_at > hold.shadow_at:
                 room = room.minus(run.need)
         return room
 
-    def _start(self, entry: Entry, host: HostState, tier: Tier) -> None:
+    def _start(self, entry: Entry, host: HostState, tier: Tier) -> HostState:
         task = TaskId(entry.job, entry.waiting.pop(0))
         self.plan.starts.append(Start(task, host.id, tier))
-        fetch = _fetch_s(entry, host)
-        host.free = host.free.minus(entry.need)
-        host.images |= {entry.image}
-        host.runs.append(
-            RunState(
-                AttemptId(task, PLANNED),
-                entry.need,
-                entry.run_s + fetch,
-                0.0,
-                tier,
-                entry.rank,
-                entry.team,
-            )
+        host = self._mine(host)
+        ends_at = self.now + entry.run_s + _fetch_s(entry, host)
+        attempt = AttemptId(task, PLANNED)
+        host.add(
+            RunState(attempt, entry.need, ends_at, self.now, tier, entry.rank, entry.team),
+            entry.image,
         )
+        if host.free.cpus < self.least_cpus - 1e-6:
+            self._group(host).open.pop(host.id, None)
         entry.zones[host.zone] = entry.zones.get(host.zone, 0) + 1
         entry.team_slots -= 1
         room = self.team_room.get(entry.team)
         if room is not None:
             self.team_room[entry.team] = room.minus(entry.need)
+        return host
 
     def _team_allows(self, entry: Entry, tasks: int = 1) -> bool:
         room = self.team_room.get(entry.team)
@@ -297,43 +456,47 @@
         best: HostState | None = None
         best_at = NEVER
         held = self.held.get(entry.job)
-        for host in self.hosts:
-            if not self._suits(entry, host):
-                continue
-            hold = self.reserved.get(host.id)
-            # On a machine that is promised already it fits once both fit.
-            need = entry.need if hold is None else entry.need.plus(hold.need)
-            at = self._fits_at(need, host)
-            if held is not None and held.host == host.id:
-                # An overrunning estimate alone must not send the reservation round the
-                # fleet: each new place would start the wait again.
-                at -= STICKINESS_S
-            if at < best_at:
-                best, best_at = (host if hold is None else None), at
-        return max(best_at, 0.0), best
-
-    @staticmethod
-    def _fits_at(need: Room, host: HostState) -> float:
+        for group in self._groups_for(entry):
+            for host in group.hosts.values():
+                if not self._suits(entry, host):
+                    continue
+                hold = self.reserved.get(host.id)
+                # On a machine that is promised already it fits once both fit.
+                need = entry.need if hold is None else entry.need.plus(hold.need)
+                if held is not None and held.host == host.id:
+                    # An overrunning estimate alone must not send the reservation round the
+                    # fleet: each new place would start the wait again.
+                    at = self._fits_at(need, host) - STICKINESS_S
+                else:
+                    at = self._fits_at(need, host, best_at)
+                if at < best_at:
+                    best, best_at = (host if hold is None else None), at
+        return max(best_at, self.now), best
+
+    def _fits_at(self, need: Room, host: HostState, before: float = NEVER) -> float:
+        """When it fits there; NEVER also stands for a time not before ``before``."""
         if not host.total.holds(need):
             return NEVER
-        free = host.total
-        foreground = []
-        for run in host.runs:
-            if run.tier is Tier.FOREGROUND or run.stopping:
-                free = free.minus(run.need)
-                foreground.append(run)
+        free = host.free
+        if host.background:
+            for run in host.runs:
+                if run.tier is Tier.BACKGROUND and not run.stopping:
+                    free = free.plus(run.need)
         if free.holds(need):
-            return max(host.ready_s, 0.5)
-        for run in sorted(foreground, key=lambda r: r.ends_s):
+            return max(host.ready_at, self.now + SOON_S)
+        if host.first_end >= before:
+            return NEVER
+        foreground = [r for r in host.runs if r.tier is Tier.FOREGROUND or r.stopping]
+        for run in sorted(foreground, key=lambda r: r.ends_at):
             free = free.plus(run.need)
             if free.holds(need):
-                return max(host.ready_s, run.ends_s)
+                return max(host.ready_at, run.ends_at, self.now)
         return NEVER
 
     def _evict_background(self, entry: Entry, host: HostState) -> None:
         free = host.free
         victims = []
-        for run in sorted(host.runs, key=lambda r: r.ran_s):
+        for run in sorted(host.runs, key=lambda r: -r.began_at):
             if free.holds(entry.need):
                 break
             if run.stopping:
@@ -347,77 +510,102 @@
 
     # -- preempting --------------------------------------------------------------------
 
-    def _in_time(self, entry: Entry) -> int:
+    def _could_preempt(self, entry: Entry) -> bool:
+        """Is there any work that may be stopped for it?"""
+        if self._lowest is None:
+            ranks = (run.rank for host in self._all_hosts() for run in host.runs)
+            self._lowest = min(ranks, default=Rank.PRODUCTION)
+        return entry.rank > self._lowest or (entry.guaranteed and bool(self.borrowed))
+
+    @property
+    def borrowed(self) -> set[AttemptId]:
+        if self._borrowed is None:
+            self._borrowed = self.snapshot.borrowed()
+        return self._borrowed
+
+    def _may_preempt(self, entry: Entry, run: RunState) -> bool:
+        """Lower priority, or borrowed room that a team needs for its guarantee."""
+        if run.stopping or run.gang or run.id.attempt == PLANNED:
+            return False
+        if run.rank < entry.rank:
+            return True
+        return entry.guaranteed and run.team != entry.team and run.id in self.borrowed
+
+    def _in_time(self, entry: Entry, wanted: int) -> int:
         """How many of its tasks find room before they miss their aim, with nothing stopped."""
         count = 0
-        for host in self.hosts:
-            if host.ready_s > entry.patience_s or not self._suits(entry, host):
-                continue
-            room = self._unclaimed(host)
-            for run in host.runs:
-                if run.ends_s <= entry.patience_s:
-                    room = room.plus(run.need)
-            hold = self.reserved.get(host.id)
-            if hold is not None and hold.job != entry.job:
-                room = room.minus(hold.need)
-            count += room.copies(entry.need)
+        limit = self.now + entry.patience_s
+        for group in self._groups_for(entry):
+            for host in group.hosts.values():
+                if host.ready_at > limit or not self._suits(entry, host):
+                    continue
+                room = self._unclaimed(host)
+                if host.first_end <= limit or host.background:
+                    for run in host.runs:
+                        if run.ends_at <= limit:
+                            room = room.plus(run.need)
+                hold = self.reserved.get(host.id)
+                if hold is not None and hold.job != entry.job:
+                    room = room.minus(hold.need)
+                count += room.copies(entry.need)
+                if count >= wanted:
+                    return count
         return count
 
-    def _preempt(self, entry: Entry, shadow: float) -> bool:
-        """Clear room for one task with the least work lost; true if room is on its way.
+    def _preempt(self, entry: Entry, shadow_s: float, late: int) -> None:
+        """Clear room for so many tasks, where the least work is lost.
 
         Work is stopped only where less of it is lost than the stop spares in waiting.
         """
-        wait = min(max(shadow, entry.run_s), LONGEST_WAIT_S)
+        wait = min(max(shadow_s, entry.run_s), LONGEST_WAIT_S)
         worth = wait * max(entry.need.cpus, 1.0)
-        best: tuple[float, HostState, list[RunState]] | None = None
-        for host in self.hosts:
-            if host.ready_s > 0 or not host.total.holds(entry.need):
-                continue
-            if not self._suits(entry, host):
-                continue
-            free = self._unclaimed(host)
-            for run in host.runs:
-                if run.stopping:
-                    free = free.plus(run.need)
-            if host.free.holds(entry.need):
-                continue  # it is held for the head, which goes first
-            victims: list[RunState] = []
-            loss = 0.0
-            candidates = [run for run in host.runs if _may_preempt(entry, run)]
-            for run in sorted(candidates, key=lambda r: 0.0 if r.saves else r.ran_s):
-                if free.holds(entry.need):
-                    break
+        options: list[tuple[float, HostId, HostState, list[RunState]]] = []
+        for group in self._groups_for(entry):
+            for host in group.hosts.values():
+                if host.ready_at > self.now or not self._suits(entry, host):
+                    continue
+                if host.free.holds(entry.need):
+                    continue  # it is held for the head, which goes first
+                choice = self._victims(entry, host)
+                if choice is not None and choice[0] <= worth:
+                    options.append((choice[0], host.id, host, choice[1]))
+        options.sort(key=lambda option: option[:2])
+        for _, _, host, victims in options[:late]:
+            if len(victims) > self.stops_left:
+                return
+            self.claimed[host.id] = self.claimed.get(host.id, NO_ROOM).plus(entry.need)
+            for run in victims:
+                self._stop(host, run, f"room for {entry.job}")
+
+    def _victims(self, entry: Entry, host: HostState) -> tuple[float, list[RunState]] | None:
+        """The work lost, and whose, if this machine made room; None if it can't."""
+        candidates = [run for run in host.runs if self._may_preempt(entry, run)]
+        free = self._unclaimed(host)
+        for run in host.runs:
+            if run.stopping:
                 free = free.plus(run.need)
-                victims.append(run)
-                loss += 1.0 if run.saves else run.ran_s * run.need.cpus
-            if not free.holds(entry.need) or loss > worth:
-                continue
-            if best is None or loss < best[0]:
-                best = (loss, host, victims)
-        if best is None:
-            return False
-        _, host, victims = best
-        if len(victims) > self.stops_left:
-            return False
-        self.claimed[host.id] = self.claimed.get(host.id, NO_ROOM).plus(entry.need)
-        for run in victims:
-            self._stop(host, run, f"room for {entry.job}")
-        return True
+        victims: list[RunState] = []
+        loss = 0.0
+        for run in sorted(candidates, key=lambda r: (not r.saves, -r.began_at)):
+            if free.holds(entry.need):
+                break
+            free = free.plus(run.need)
+            victims.append(run)
+            loss += 1.0 if run.saves else (self.now - run.began_at) * run.need.cpus
+        return (loss, victims) if free.holds(entry.need) else None
 
     def _stop(self, host: HostState, run: RunState, reason: str) -> None:
-        run.stopping = True
-        run.ends_s = 0.5
+        self._mine(host).change(run, replace(run, stopping=True, ends_at=self.now + SOON_S))
         self.stops_left -= 1
         self.plan.stops.append(Stop(run.id, host.id, run.saves, reason))
 
     def _free_elsewhere(self, host: HostState, run: RunState) -> bool:
         return any(
             other.id != host.id
-            and other.ready_s <= 0
+            and other.ready_at <= self.now
             and other.id not in self.reserved
             and other.free.holds(run.need)
-            for other in self.hosts
+            for other in self._all_hosts()
         )
 
 
@@ -425,19 +613,10 @@
     return 0.0 if entry.image in host.images else entry.image_gb / host.fetch_gb_per_s
 
 
-def _may_preempt(entry: Entry, run: RunState) -> bool:
-    """Lower priority, or borrowed room that a team needs for its guarantee."""
-    if run.stopping or run.gang or run.id.attempt == PLANNED:
-        return False
-    if run.rank < entry.rank:
-        return True
-    return entry.guaranteed and run.borrowed and run.team != entry.team
-
-
 def _list_order(entry: Entry) -> tuple[float, ...]:
     return (-float(entry.rank), 0.0 if entry.guaranteed else 1.0, *entry.order)
 
 
 def plan(snapshot: Snapshot, policy: Policy) -> Plan:
-    """Decide what to start, stop and lift. The snapshot is used up."""
+    """Decide what to start, stop and lift. The entries are used up, the machines are not."""
     return _Walk(snapshot, policy).run()
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -1,12 +1,15 @@
 """The snapshot that the scheduler reads and the decisions that it returns.
 
-All times are seconds from the moment of the snapshot; the scheduler has no clock.
+Moments are on one clock whose time the snapshot states; the scheduler has no clock.
+
+Machines and runs are pictured once and used by many plans while nothing about them changes,
+so a plan never writes to them: it copies a machine before it puts anything there.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from dunehold.types import (
     AttemptId,
@@ -23,18 +26,17 @@
 )
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class RunState:
     """A task on a machine."""
 
     id: AttemptId
     need: Room
-    ends_s: float  # estimated
-    ran_s: float
+    ends_at: float  # estimated
+    began_at: float  # what is lost if it is stopped counts from here
     tier: Tier
     rank: Rank
     team: Team
-    borrowed: bool = False  # beyond its team's guarantee
     stopping: bool = False
     gang: bool = False  # its whole gang would lose what it did
     saves: bool = False  # can go on elsewhere from where it is stopped
@@ -50,10 +52,38 @@
     free: Room
     images: frozenset[Image]
     fetch_gb_per_s: float
-    runs: list[RunState] = field(default_factory=list)
-    ready_s: float = 0.0  # more than 0: still booting
-    scarcity: float = 0.0  # how much bigger work depends on this kind of machine
+    runs: tuple[RunState, ...] = ()
+    ready_at: float = 0.0  # later than the snapshot: still booting
     penalty_s: float = 0.0  # for machines under suspicion
+    background: bool = False  # some run is in the background tier
+    first_end: float = 0.0  # no foreground run ends before it
+
+    def __post_init__(self) -> None:
+        self._summarise()
+
+    def _summarise(self) -> None:
+        self.background = any(run.tier is Tier.BACKGROUND for run in self.runs)
+        self.first_end = min(
+            (run.ends_at for run in self.runs if run.tier is Tier.FOREGROUND or run.stopping),
+            default=0.0,
+        )
+
+    def copy(self) -> HostState:
+        return replace(self)
+
+    def add(self, run: RunState, image: Image) -> None:
+        self.free = self.free.minus(run.need)
+        if image not in self.images:
+            self.images |= {image}
+        self.runs += (run,)
+        if run.tier is Tier.BACKGROUND:
+            self.background = True
+        elif len(self.runs) == 1 or run.ends_at < self.first_end:
+            self.first_end = run.ends_at
+
+    def change(self, old: RunState, new: RunState) -> None:
+        self.runs = tuple(new if run is old else run for run in self.runs)
+        self._summarise()
 
 
 @dataclass(slots=True)
@@ -87,7 +117,7 @@
     job: JobId
     host: HostId
     need: Room
-    shadow_s: float
+    shadow_at: float
 
 
 @dataclass(slots=True)
@@ -111,6 +141,9 @@
     entries: list[Entry]
     team_room: dict[Team, Room] = field(default_factory=dict)  # left of limits; absent: any
     held: list[Reservation] = field(default_factory=list)  # of the plan before
+    now: float = 0.0
+    scarcity: dict[TypeName, float] = field(default_factory=dict)  # other work depends on it
+    borrowed: Callable[[], set[AttemptId]] = set  # runs beyond their teams' guarantees
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +157,7 @@
     preemption: bool = True
     moves: int = 4
     stops: int = 8
+    preempting: int = 4  # entries a plan that room may be cleared for
 
 
 @dataclass(slots=True)
--- a/dunehold/coordination/sync.py
+++ b/dunehold/coordination/sync.py
@@ -28,11 +28,16 @@
     barrier_gap_s: Duration
     watch_gap_s: Duration
     proved_at: MonotonicTime = MonotonicTime(-1e9)  # when the last answered proof was sent
+    failing_since: MonotonicTime | None = None  # no proof was had since
     _waiting: asyncio.Future[None] | None = None
     _pump_task: asyncio.Task[None] | None = None
     _urgent: bool = False
     _load_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
+    def failing(self) -> bool:
+        """The last proof asked for was not to be had: asking again makes users wait."""
+        return self.failing_since is not None
+
     async def load(self) -> None:
         async with self._load_lock:
             if self.view.loaded:
@@ -67,7 +72,10 @@
             sent = loop.time()
             try:
                 await self._refresh(priority)
+                self.failing_since = None
             except Exception as error:
+                if self.failing_since is None:
+                    self.failing_since = MonotonicTime(sent)
                 if not future.done():
                     future.set_exception(
                         error if isinstance(error, TROUBLE) else Unavailable(str(error))
--- a/dunehold/transport/budget.py
+++ b/dunehold/transport/budget.py
@@ -33,6 +33,20 @@
         self._serve()
         await future
 
+    def set_rate(self, rate: float, burst: float) -> None:
+        """From now on; what was saved up stays, as far as it fits."""
+        self._fill()
+        self.rate = rate
+        self.burst = burst
+        self._level = min(self._level, burst)
+        self._serve()
+
+    def wait_s(self, amount: float = 1.0) -> float:
+        """How long who comes last now would wait, if nobody of higher priority came."""
+        self._fill()
+        ahead = sum(entry[2] for entry in self._queue if not entry[3].done())
+        return max(0.0, (ahead + min(amount, self.burst) - self._level) / self.rate)
+
     def _fill(self) -> None:
         now = asyncio.get_running_loop().time()
         if self._filled_at < 0:
@@ -48,6 +62,7 @@
             if future.done():
                 heapq.heappop(self._queue)
                 continue
+            amount = min(amount, self.burst)  # the rate may have changed since
             if self._level < amount:
                 break
             heapq.heappop(self._queue)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -40,13 +40,13 @@
 def make_ledger() -> tuple[Ledger, Host, JobRecord]:
     spec = decode_job_object(JOB | {"flavours": ["g8"]})
     view = View()
-    view.hosts[HOST] = HostRecord(HOST, "10.1.0.1:9000", KIND, ZONE, False)
+    view.hosts[HOST] = HostRecord(HOST, KIND, ZONE, False)
     record = JobRecord(spec.id, JobPhase.ACTIVE, Revision(5), WallTime(0.0), spec, spec.tasks)
     view.jobs[spec.id] = view.active[spec.id] = record
     room = Room(96.0, 8.0, 768.0)
     kind = MachineType(KIND, room, 200.0, 1.0, 12.0, 4.5, Duration(45.0), (ZONE,))
     ledger = Ledger(
-        view, Token(7), MonotonicTime(0.0), Revision(9),
+        view, Token(7), MonotonicTime(0.0),
         {TEAM: TeamSettings(TEAM, NO_ROOM, None, None)}, {KIND: kind}, LEASE, Duration(20.0),
     )  # fmt: skip
     return ledger, ledger.hosts[HOST], record
@@ -70,6 +70,7 @@
     assert ledger.ingest(report(2, 5), back, direct=True).accepted
     run = ledger.plan_start(record, TASK, host, Tier.FOREGROUND, back)
     assert not isinstance(run, str)
+    run.logged = True
     ledger.commands(host, direct=True, starts=True)
     assert ledger.expire(MonotonicTime(15.6)) == []
     assert TASK in ledger.present
@@ -82,6 +83,7 @@
     ledger.ingest(report(1, 1), now)
     run = ledger.plan_start(record, TASK, host, Tier.FOREGROUND, now)
     assert not isinstance(run, str)
+    run.logged = True
     assert ledger.commands(host, direct=False, starts=True) == [Start(run.id)]
     ledger.ingest(report(1, 2), now, direct=True)  # written while the response was on its way
     assert not ledger.withdraw(run)
@@ -95,6 +97,7 @@
     ledger.ingest(report(1, 1), now)
     run = ledger.plan_start(record, TASK, host, Tier.FOREGROUND, now)
     assert not isinstance(run, str)
+    run.logged = True
     ledger.commands(host, direct=True, starts=True)
     ledger.ingest(report(1, 2), now)
     ledger.stop(run, Duration(0.0))
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 
-from dunehold.coordination.scheduler.measy import plan
+from dunehold.coordination.scheduler.measy import _Walk, plan
 from dunehold.coordination.scheduler.model import (
     Entry,
     HostState,
@@ -43,7 +44,7 @@
         free = free.minus(run.need)
     return HostState(
         HostId(name), TypeName(f"t{total:g}"), Zone("a"), False, cpus(total), free,
-        frozenset({Image("i")}), 1.0, list(runs), **more,
+        frozenset({Image("i")}), 1.0, runs, **more,
     )  # fmt: skip
 
 
@@ -51,7 +52,7 @@
     job: str, need: float, ends: float, tier: Tier = Tier.FOREGROUND, ran: float = 1.0
 ) -> RunState:
     task = AttemptId(TaskId(JobId(job), 0), Attempt(7))
-    return RunState(task, cpus(need), ends, ran, tier, Rank.NORMAL, TEAM)
+    return RunState(task, cpus(need), ends, -ran, tier, Rank.NORMAL, TEAM)
 
 
 def entry(
@@ -90,7 +91,7 @@
     tiers = started(made)
     assert tiers["j1"] == tiers["j3"] == tiers["j4"] == "foreground"
     assert [hold.job for hold in made.reservations] == ["j2"]
-    assert made.reservations[0].shadow_s == 10.0
+    assert made.reservations[0].shadow_at == 10.0
     # One processor is the extra room (5 - 4), and the head's promised room is the rest.
     assert tiers["j5"] == "foreground" and "j2" not in tiers
 
@@ -106,11 +107,36 @@
 
 
 def test_background_takes_the_promised_room_shortest_first() -> None:
-    machine = host("h", 4.0, run("r", 2, 10))
+    machine = host("h", 4.0, run("r", 2, 31))
     jobs = [entry("head", 4, 9, 1), entry("slow", 2, 60, 2), entry("short", 2, 40, 3)]
     assert started(decide([machine], jobs)) == {"short": "background"}
 
 
+def test_background_that_the_reservation_would_only_cut_off_is_not_started() -> None:
+    """Hundreds of runs were begun in room that was needed seconds later, and all lost."""
+    machine = host("h", 4.0, run("r", 2, 10))
+    jobs = [entry("head", 4, 9, 1), entry("long", 2, 40, 2)]
+    assert not started(decide([machine], jobs))
+
+
+def test_no_more_tasks_wait_for_a_type_than_room_frees_up_on_it() -> None:
+    """A whole backlog once waited for the few small machines while large ones stood idle."""
+    hosts = [host("small", 4.0, run("r", 4, 5)), host("big", 16.0)]
+    job = entry("job", 4, 9, 1, tasks=3, patience_s=100.0)
+    snapshot = Snapshot(hosts, [job], scarcity={TypeName("t16"): 1.0})
+    assert [s.host for s in plan(snapshot, Policy()).starts] == ["big", "big"]
+
+
+def test_every_job_of_a_backlog_counts_on_room_of_its_own() -> None:
+    """Each job counted on the same room in the next seconds, and each left some to wait."""
+    hosts = [host("small", 4.0, run("r", 4, 5)), host("other", 4.0, run("q", 4, 5))]
+    hosts[1].zone = Zone("b")
+    hosts.append(host("big", 16.0))
+    jobs = [entry(f"job{n}", 4, 9, n, patience_s=100.0) for n in range(5)]
+    made = plan(Snapshot(hosts, jobs, scarcity={TypeName("t16"): 1.0}), Policy())
+    assert [s.task.job for s in made.starts] == ["job2", "job3", "job4"]
+
+
 def test_background_is_stopped_when_the_reservation_needs_its_room() -> None:
     machine = host("h", 4.0, run("bg", 2, 50, Tier.BACKGROUND))
     made = decide([machine], [entry("head", 4, 9, 1)])
@@ -128,8 +154,7 @@
 
 
 def test_background_moves_from_its_checkpoint() -> None:
-    guest = run("bg", 2, 50, Tier.BACKGROUND)
-    guest.saves = True
+    guest = replace(run("bg", 2, 50, Tier.BACKGROUND), saves=True)
     hosts = [host("h", 4.0, guest, run("fg", 2, 10)), host("other", 2.0)]
     made = decide(hosts, [entry("head", 4, 9, 1)])
     assert [(s.attempt.task.job, s.save) for s in made.stops] == [("bg", True)]
@@ -211,15 +236,16 @@
             tier = rng.choice([Tier.FOREGROUND, Tier.FOREGROUND, Tier.BACKGROUND])
             runs.append(run(f"r{number}-{len(runs)}", need, rng.uniform(1, 90), tier))
             left -= need
-        hosts.append(host(f"h{number}", total, *runs, scarcity=rng.choice([0.0, 0.8])))
+        hosts.append(host(f"h{number}", total, *runs))
     free = {h.id: h.free for h in hosts}
     by_id = {h.id: h for h in hosts}
+    scarce = {h.type: rng.choice([0.0, 0.8]) for h in hosts}
     jobs = [
         entry(f"j{n}", rng.choice([1, 2, 4, 8]), rng.uniform(1, 90), n, rng.randint(1, 9))
         for n in range(12)
     ]
     needs = {job.job: (job.need, job.run_s) for job in jobs}
-    made = decide(hosts, jobs)
+    made = plan(Snapshot(hosts, jobs, scarcity=scarce), Policy())
     seen = set()
     for start in made.starts:
         assert start.task not in seen
@@ -231,6 +257,94 @@
         late = [
             r.need.cpus
             for r in machine.runs
-            if r.tier is Tier.FOREGROUND and r.ends_s > hold.shadow_s and not r.stopping
+            if r.tier is Tier.FOREGROUND and r.ends_at > hold.shadow_at and not r.stopping
         ]
         assert sum(late) + hold.need.cpus <= machine.total.cpus + 1e-6
+
+
+class PlainWalk(_Walk):
+    """One task at a time, every machine looked at: what the walk must come to as well."""
+
+    def _place(self, entry: Entry) -> None:
+        while self._wanted(entry):
+            costs = [
+                self._cost(entry, h)
+                for h in self._all_hosts()
+                if h.ready_at <= self.now
+                and self._fits_now(entry, h)
+                and (h.id not in self.reserved or self._backfills(entry, h))
+            ]
+            if not costs:
+                break
+            best = min(costs, key=lambda c: c[:3])[3]
+            if len(entry.waiting) <= self._better_waiting(entry, best):
+                break
+            self._start(entry, best, Tier.FOREGROUND)
+        self._take_slots(entry)
+
+
+def random_snapshot(rng: random.Random, machines: int, jobs: int) -> Snapshot:
+    hosts = []
+    for number in range(machines):
+        total = rng.choice([4.0, 8.0, 32.0])
+        runs, left = [], total
+        while left >= 1 and rng.random() < 0.8:
+            need = float(rng.choice([1, 2, 4]))
+            if need > left:
+                break
+            tier = Tier.BACKGROUND if rng.random() < 0.05 else Tier.FOREGROUND
+            runs.append(run(f"r{number}-{len(runs)}", need, rng.uniform(1, 90), tier))
+            left -= need
+        machine = host(f"h{number:04}", total, *runs, ready_at=rng.choice([0.0, 0.0, 9.0]))
+        machine.zone = Zone(rng.choice("ab"))
+        machine.images = frozenset({Image(rng.choice("ijk"))})
+        hosts.append(machine)
+    entries = []
+    for n in range(jobs):
+        made = entry(
+            f"j{n:04}", rng.choice([1, 2, 4, 8]), rng.uniform(1, 90), n, rng.randint(1, 30),
+            rank=rng.choice(list(Rank)), patience_s=rng.choice([1.0, 20.0, 1e9]),
+            image=Image(rng.choice("ijk")), image_gb=3.0, one_zone=rng.random() < 0.1,
+        )  # fmt: skip
+        if rng.random() < 0.1:
+            made.zone_limit = 3
+        if rng.random() < 0.2:
+            made.allowed = lambda h: h.zone == "a"
+        entries.append(made)
+    scarcity = {TypeName(f"t{cpus:g}"): rng.choice([0.0, 0.3, 0.9]) for cpus in (4, 8, 32)}
+    return Snapshot(hosts, entries, {TEAM: cpus(rng.choice([20.0, 1e6]))}, scarcity=scarcity)
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_the_walk_decides_as_a_plain_one(seed: int) -> None:
+    policy = Policy(moves=2)
+    fast = plan(random_snapshot(random.Random(seed), 40, 15), policy)
+    plain = PlainWalk(random_snapshot(random.Random(seed), 40, 15), policy).run()
+    assert fast == plain
+    assert fast.starts
+
+
+def test_a_plan_s_work_grows_with_fleet_plus_backlog(monkeypatch: pytest.MonkeyPatch) -> None:
+    """600 machines and a backlog of 3,000 jobs: their product would be 1.8 million looks."""
+    looks = 0
+    fits_now, fits_at = _Walk._fits_now, _Walk._fits_at
+
+    def counted(self: _Walk, job: Entry, machine: HostState) -> bool:
+        nonlocal looks
+        looks += 1
+        return fits_now(self, job, machine)
+
+    def counted_at(self: _Walk, *arguments) -> float:  # type: ignore[no-untyped-def]
+        nonlocal looks
+        looks += 1
+        return fits_at(self, *arguments)
+
+    monkeypatch.setattr(_Walk, "_fits_now", counted)
+    monkeypatch.setattr(_Walk, "_fits_at", counted_at)
+    snapshot = random_snapshot(random.Random(1), 600, 3000)
+    snapshot.team_room.clear()
+    for job in snapshot.entries:
+        job.one_zone, job.zone_limit = False, None
+    made = plan(snapshot, Policy())
+    assert len(made.starts) > 300
+    assert looks < 40 * (600 + 3000)
