Notice slow machines; take out the cost of dear ones

A result is compared with those of its job's other tasks; a slow machine gets no work that would miss an aim there, and is returned after two slow results in a row. Adopted runs no longer teach run times: their begin is not known.

--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -62,6 +62,7 @@
     planned_at: MonotonicTime
     service: bool = False
     logged: bool = False  # in the durable log of starts: it may be commanded
+    adopted: bool = False  # from another leader: when it began is not known
     seen: bool = False  # the worker has reported it
     in_reply: bool = False  # in a report response that may have been carried out
     unanswered: int = 0  # direct starts without an answer: they may still be carried out
@@ -111,6 +112,8 @@
     idle_since: MonotonicTime | None = None
     errors: int = 0
     error_at: MonotonicTime | None = None
+    slowness: float = 1.0  # by its last results, where others ran tasks of the same job
+    slow_results: int = 0  # in a row
     recorded: bool = False  # durable, and nothing under way that would undo it
     version: int = 0  # counts every change of what is on it
 
@@ -401,6 +404,7 @@
         service = spec is not None and spec.kind is Kind.SERVICE
         image_gb = spec.image_gb if spec is not None else 0.0
         run = Run(task.id, host.id, team, need, image, image_gb, now, service=service)
+        run.adopted = True
         self._occupy(host, run)
         return run
 
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+from bisect import insort
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,7 +15,7 @@
 from dunehold.coordination.delivery import Delivery
 from dunehold.coordination.estimates import Estimates
 from dunehold.coordination.fleet import Fleet
-from dunehold.coordination.picture import JobProgress, Picture
+from dunehold.coordination.picture import MOST_DURATIONS, JobProgress, Picture, slowness
 from dunehold.coordination.recorder import Deposed, Recorder
 from dunehold.coordination.scheduler.measy import plan
 from dunehold.coordination.scheduler.model import Plan, Policy, Reservation
@@ -44,6 +45,7 @@
 SCALE_S = 1.0
 LOG_S = 10.0
 PREEMPT_S = 0.5
+SLOW_RATIO, MOST_SLOW, SLOW_RESULTS = 1.6, 4.0, 2
 DEAF_REPORTS = 3.0
 SILENT_SHARE = 0.1  # of the fleet: with more unheard of, its size is not known well enough
 PLAN_SHARE = 0.15  # of the time, at most, goes on plans
@@ -253,8 +255,9 @@
             if progress is not None:
                 progress.finished += 1
                 progress.errors = 0
-                if run.duration_s is not None and run.running_at is not None:
+                if run.duration_s is not None and not run.adopted:
                     self.estimates.learn(progress.spec, run.duration_s)
+                    self._judge_speed(host, progress, run.duration_s)
             if not run.service:
                 whole = progress is None or not (progress.waiting or job in self.ledger.by_job)
                 self.recorder.job(job, whole)
@@ -283,6 +286,23 @@
             host.draining = "tasks fail on it"
             log.info("host %s is quarantined after %d errors", host.id, host.errors)
 
+    def _judge_speed(self, host: Host, progress: JobProgress, ran_s: float) -> None:
+        """One slow machine makes a whole array late. Once may be chance; twice in a row the
+        machine is returned as soon as it is empty, and is not used meanwhile."""
+        ratio = slowness(progress, ran_s)
+        if len(progress.durations) < MOST_DURATIONS:
+            insort(progress.durations, ran_s)
+        if ratio is None:
+            return
+        slow = ratio >= SLOW_RATIO
+        host.slow_results = host.slow_results + 1 if slow else 0
+        before, host.slowness = host.slowness, min(ratio, MOST_SLOW) if slow else 1.0
+        if host.slowness != before:
+            host.version += 1
+        if host.slow_results >= SLOW_RESULTS and host.draining is None:
+            host.draining = "much slower than others"
+            log.info("host %s is quarantined: %.1f times as slow", host.id, ratio)
+
     def _requeue(self, task: TaskId) -> None:
         record = self.view.active.get(task.job)
         progress = self.progress.get(task.job)
--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture.py
@@ -38,7 +38,7 @@
 TASKS_A_PLAN = 200
 SUSPECT_PENALTY_S = 30.0
 SUSPECT_S = 60.0
-DEAR_COST_S, MOST_DEAR = 2.0, 3.0  # for each time that a CPU costs the least price more
+ENOUGH_PEERS, MOST_DURATIONS = 4, 200
 DEFAULT_LIMIT_S, DEFAULT_LIMIT_RUNS = 60.0, 3.0  # for jobs that no aim speaks of
 LADDER = 2.0
 TRIAGE_ROUNDS = 3
@@ -55,10 +55,22 @@
     start_limit: float = MANY  # when its class wants it started
     errors: int = 0
     finished: int = 0
+    durations: list[float] = field(default_factory=list)  # of its tasks, in order
     error_hosts: set[HostId] = field(default_factory=set)
     held_until: MonotonicTime = MonotonicTime(-1e9)
 
 
+def slowness(progress: JobProgress, ran_s: float) -> float | None:
+    """A run's time by that of its job's other tasks, which are alike.
+
+    None until half of them have ended: those that end first are the fast ones.
+    """
+    known = progress.durations
+    if len(known) < max(ENOUGH_PEERS, min(progress.spec.tasks // 2, MOST_DURATIONS)):
+        return None
+    return ran_s / max(known[len(known) * 3 // 4], 1.0)
+
+
 @dataclass(slots=True)
 class _Pictured:
     """A machine as plans see it, good for its version of the books and until a moment."""
@@ -270,10 +282,7 @@
         if not host.known or not host.recorded:
             ready = max(now + 1.0, host.created_at + kind.boot_s)
             until = now  # it may be up any moment: look again
-        # Where there is a choice, the dear machines run empty, and can be returned.
-        rate = kind.spot_price if host.spot else kind.price
-        dear = rate / max(kind.room.cpus, 1.0) / self._least_price()
-        penalty = DEAR_COST_S * max(0.0, min(dear - 1.0, MOST_DEAR))
+        penalty = 0.0
         if host.error_at is not None and now - host.error_at < SUSPECT_S:
             penalty += SUSPECT_PENALTY_S
             until = min(until, host.error_at + SUSPECT_S)
@@ -293,6 +302,7 @@
             runs,
             ready,
             penalty,
+            host.slowness,
             frozenset(
                 run.image
                 for run in host.runs.values()
@@ -301,14 +311,6 @@
         )
         return _Pictured(host, host.version, until, state)
 
-    def _least_price(self) -> float:
-        """Of a CPU, on the cheapest kind of machine."""
-        rates = [
-            min(kind.price, kind.spot_price or kind.price) / max(kind.room.cpus, 1.0)
-            for kind in self.types.values()
-        ]
-        return max(min(rates, default=1.0), EPSILON)
-
     @staticmethod
     def _cached(host: Host, kind: MachineType) -> list[Image]:
         """The images used last, as many as its cache takes."""
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -305,6 +305,7 @@
     def _cost(self, entry: Entry, host: HostState) -> tuple[float, float, HostId, HostState]:
         scarcity = self._group(host).scarcity
         wait = _fetch_s(entry, host) + SCARCITY_COST_S * scarcity + host.penalty_s
+        wait += (host.slowness - 1.0) * entry.run_s
         return (wait, host.free.cpus - entry.need.cpus, host.id, host)
 
     def _candidates(self, entry: Entry) -> list[tuple[float, float, HostId, HostState]]:
@@ -394,6 +395,8 @@
         return host.free if claimed is None else host.free.minus(claimed)
 
     def _fits_now(self, entry: Entry, host: HostState) -> bool:
+        if host.slowness > 1.0 and entry.patience_s < (host.slowness - 1.0) * entry.run_s:
+            return False  # it would miss an aim there that it can still meet
         return self._unclaimed(host).holds(entry.need) and self._suits(entry, host)
 
     @staticmethod
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -54,7 +54,8 @@
     fetch_gb_per_s: float
     runs: tuple[RunState, ...] = ()
     ready_at: float = 0.0  # later than the snapshot: still booting
-    penalty_s: float = 0.0  # for machines under suspicion, and for dear ones
+    penalty_s: float = 0.0  # for machines under suspicion
+    slowness: float = 1.0  # times that a task takes there what it takes elsewhere
     fetching: frozenset[Image] = frozenset()  # these share its rate
     background: bool = False  # some run is in the background tier
     first_end: float = 0.0  # no foreground run ends before it
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from dunehold.coordination.picture import _put_off
+from dunehold.coordination.picture import JobProgress, _put_off, slowness
 from dunehold.coordination.scheduler.measy import _Walk, plan
 from dunehold.coordination.scheduler.model import (
     Entry,
@@ -17,6 +17,7 @@
     RunState,
     Snapshot,
 )
+from dunehold.protocol.users import decode_job_object
 from dunehold.types import (
     Attempt,
     AttemptId,
@@ -31,6 +32,7 @@
     TypeName,
     Zone,
 )
+from tests.test_protocol import JOB
 
 TEAM = Team("blue")
 
@@ -358,3 +360,19 @@
     wanted, late = _put_off(rows, 0.0, 20.0, 4.0)
     assert (wanted, late) == (71.0, [JobId("a")])
     assert _put_off(rows, 0.0, 20.0, 100.0) == (131.0, [])
+
+
+def test_a_slow_machine_gets_no_work_that_would_be_late_there() -> None:
+    """A few machines at half speed made most arrays late, since each had some task there."""
+    slow, fast = host("a", 4.0), host("b", 4.0, run("r", 4, 3))
+    slow.slowness = 2.0
+    assert not started(decide([slow, fast], [entry("tight", 4, 20, 1, patience_s=10.0)]))
+    assert started(decide([slow, fast], [entry("easy", 4, 20, 1, patience_s=30.0)]))
+
+
+def test_a_run_is_slow_by_its_peers() -> None:
+    spec = decode_job_object(JOB | {"units": 8})
+    progress = JobProgress(spec, set(), durations=[9.0, 10.0, 11.0])
+    assert slowness(progress, 20.0) is None
+    progress.durations.append(11.0)
+    assert slowness(progress, 22.0) == 2.0
