--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dunehold.bookkeeping.ledger import Host, Ledger
+from dunehold.bookkeeping.ledger import Host, Ledger, Run
 from dunehold.bookkeeping.records import HostRecord, JobRecord, RelayRecord
 from dunehold.bookkeeping.view import View
 from dunehold.protocol.cloud import MachineType
@@ -55,6 +55,14 @@
     return ledger, ledger.hosts[HOST], record
 
 
+def begin(ledger: Ledger, host: Host, record: JobRecord, now: MonotonicTime) -> Run:
+    """Task 3 started on the machine, and in the log: it may be commanded."""
+    run = ledger.plan_start(record, TASK, host, Tier.FOREGROUND, now)
+    assert not isinstance(run, str)
+    run.logged = True
+    return run
+
+
 def report(session: int, sequence: int, *tasks: TaskReport, token: int = 7) -> Report:
     return Report(
         HOST, "10.1.0.1:9000", KIND, ZONE, False, Session(session), Sequence(sequence),
@@ -71,9 +79,7 @@
     host.fed_at = MonotonicTime(1.0)
     back = MonotonicTime(15.3)  # before the ledger would have counted the lease as over
     assert ledger.ingest(report(2, 5), back, direct=True).accepted
-    run = ledger.plan_start(record, TASK, host, Tier.FOREGROUND, back)
-    assert not isinstance(run, str)
-    run.logged = True
+    run = begin(ledger, host, record, back)
     ledger.commands(host, direct=True, starts=True)
     assert ledger.expire(MonotonicTime(15.6)) == []
     assert TASK in ledger.present
@@ -84,9 +90,7 @@
     ledger, host, record = make_ledger()
     now = MonotonicTime(1.0)
     ledger.ingest(report(1, 1), now)
-    run = ledger.plan_start(record, TASK, host, Tier.FOREGROUND, now)
-    assert not isinstance(run, str)
-    run.logged = True
+    run = begin(ledger, host, record, now)
     assert ledger.commands(host, direct=False, starts=True) == [Start(run.id)]
     ledger.ingest(report(1, 2), now, direct=True)  # written while the response was on its way
     assert not ledger.withdraw(run)
@@ -98,9 +102,7 @@
     ledger, host, record = make_ledger()
     now = MonotonicTime(1.0)
     ledger.ingest(report(1, 1), now)
-    run = ledger.plan_start(record, TASK, host, Tier.FOREGROUND, now)
-    assert not isinstance(run, str)
-    run.logged = True
+    run = begin(ledger, host, record, now)
     ledger.commands(host, direct=True, starts=True)
     ledger.ingest(report(1, 2), now)
     ledger.stop(run, Duration(0.0))
@@ -162,8 +164,7 @@
     ledger, host, record = make_ledger()
     ledger.ingest(report(1, 1), MonotonicTime(1.0))
     host.fed_at = MonotonicTime(1.0)
-    run = ledger.plan_start(record, TASK, host, Tier.FOREGROUND, MonotonicTime(1.0))
-    assert not isinstance(run, str)
+    run = begin(ledger, host, record, MonotonicTime(1.0))
     ledger.view.relays[NodeId("n2")] = RelayRecord(ZONE, Token(7))
     ledger.note_relays(MonotonicTime(15.0))
     assert ledger.expire(MonotonicTime(16.0)) == []
