Judge jobs and machines by one another; resign at once; know one's own silence

Each broken job quarantined the first two machines that it failed on. A leader that had stood still took its own silence for that of the machines, or of its run times.

Excluded: the relay (a follower's zone was fed), the takeover itself (machines answered within 2 s), processor time (0.05 of a core).

Now failures are judged both ways (health.py) and take each other back; broken jobs are durable for the next leader; a leader that steps down ends its lease; with many machines silence is told from chance after 4 s; after a standstill or without proof, silence counts anew; a new leader that hears nobody gives way too, with growing patience; a node without state service and peers sends its users elsewhere; a proof older than 2 s answers nobody.

--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -46,6 +46,7 @@
 ATTEMPT_BITS = 32
 DRIFT = 1.002  # two clocks that each run up to 0.05% fast, with room to spare
 LEASE_MARGIN_S = 0.5
+TIMELY_SHARE = 1 / 3  # of a lease: longer without a report, and times mean little
 RELAY_S = 2.5  # a node feeds for another by proofs that are at most 2 s old
 
 
@@ -69,6 +70,7 @@
     phase: TaskPhase = TaskPhase.FETCHING
     tier: Tier = Tier.FOREGROUND
     running_at: MonotonicTime | None = None
+    late: bool = False  # seen to run only after a silence
     why: Why | None = None
     stop_grace: Duration | None = None
     duration_s: Duration | None = None  # how long it ran, once it has exited
@@ -110,8 +112,8 @@
     images: dict[Image, tuple[MonotonicTime, float]] = field(default_factory=dict)  # use, GB
     heard_at: MonotonicTime = MonotonicTime(-1e9)  # when its worker was heard of last
     idle_since: MonotonicTime | None = None
-    errors: int = 0
-    error_at: MonotonicTime | None = None
+    error_at: MonotonicTime | None = None  # a task failed: its job, or this machine
+    quarantined_at: MonotonicTime | None = None
     slowness: float = 1.0  # by its last results, where others ran tasks of the same job
     slow_results: int = 0  # in a row
     recorded: bool = False  # durable, and nothing under way that would undo it
@@ -330,6 +332,8 @@
             # was fed before belongs to the session before.
             host.fed_at = now
         host.session, host.sequence = report.session, report.sequence
+        # Seen late, an end says little of how long the task ran.
+        timely = now - host.heard_at <= self.lease_s * TIMELY_SHARE
         host.heard_at = now
         host.known = host.up = host.confirmed = True
         self._settled(host)
@@ -346,7 +350,7 @@
             listed.add(task.id)
             if task.id not in host.runs:
                 adopted.append(self._adopt(host, task, now))
-            exit_ = self._ingest_task(host, task, now)
+            exit_ = self._ingest_task(host, task, now, timely)
             if exit_ is not None:
                 exits.append(exit_)
         for run in list(host.runs.values()):
@@ -368,7 +372,9 @@
             host.idle_since = now
         return Outcome(True, tuple(exits), tuple(lost), tuple(adopted), changed)
 
-    def _ingest_task(self, host: Host, task: TaskReport, now: MonotonicTime) -> Exit | None:
+    def _ingest_task(
+        self, host: Host, task: TaskReport, now: MonotonicTime, timely: bool
+    ) -> Exit | None:
         run = host.runs[task.id]
         run.seen = True
         run.in_reply = False
@@ -383,9 +389,10 @@
             host.version += 1
         if task.phase is TaskPhase.RUNNING and run.running_at is None:
             run.running_at = now
+            run.late = not timely
         if task.phase is not TaskPhase.EXITED:
             return None
-        if run.running_at is not None:
+        if run.running_at is not None and timely and not run.late:
             run.duration_s = Duration(now - run.running_at)
         run.why = task.why
         self._release(host, run)
--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -33,6 +33,7 @@
 RENTALS = PREFIX + "rentals/"
 RELAYS = PREFIX + "relays/"
 STARTS = PREFIX + "starts/"
+BROKEN = PREFIX + "broken"  # jobs that fail on every machine, for the next leader
 START_SLOTS = 256  # the log of starts is a ring of so many keys
 
 Placed = dict[HostId, set[TaskId]]  # machine -> tasks that may have been started there
@@ -195,6 +196,23 @@
     return 24 + sum(len(job) + 8 for job in {t.job for t in tasks}) + 7 * len(tasks)
 
 
+def encode_broken(jobs: set[JobId], most_bytes: int) -> list[JobId]:
+    """As many as a value holds, the names that were chosen last first."""
+    found: list[JobId] = []
+    for job in sorted(jobs, reverse=True):
+        most_bytes -= len(job) + 3
+        if most_bytes < 0:
+            break
+        found.append(job)
+    return found
+
+
+def decode_broken(value: Any) -> set[JobId]:
+    if not isinstance(value, list):
+        raise BadMessage("broken jobs record")
+    return {JobId(str(job)) for job in value}
+
+
 def encode_relay(zone: Zone, token: Token) -> dict[str, Any]:
     return {"zone": zone, "token": token}
 
--- a/dunehold/bookkeeping/view.py
+++ b/dunehold/bookkeeping/view.py
@@ -23,7 +23,13 @@
 log = logging.getLogger(__name__)
 
 
-VERSIONED = (records.HOSTS, records.STARTS, records.MARKS, records.RELAYS)
+VERSIONED = (
+    records.HOSTS,
+    records.STARTS,
+    records.MARKS,
+    records.RELAYS,
+    records.BROKEN,
+)
 
 
 @dataclass(slots=True)
@@ -44,6 +50,7 @@
     # Of keys that a leader writes again and again: a write that was given up on and comes
     # late is refused by them, and can't take a newer one back.
     versions: dict[str, Revision] = field(default_factory=dict)
+    broken: set[JobId] = field(default_factory=set)  # found to fail on every machine
     orphan_marks: dict[JobId, dict[int, int]] = field(default_factory=dict)
 
     def load(self, entries: list[Entry], revision: Revision) -> None:
@@ -98,6 +105,8 @@
                     self.rentals.pop(rental, None)
                 else:
                     self.rentals[rental] = records.decode_rental(rental, change.value)
+            elif key == records.BROKEN:
+                self.broken = set() if change.deleted else records.decode_broken(change.value)
             elif key == records.LEADER_KEY:
                 self.leader = (
                     None
--- a/dunehold/coordination/fleet.py
+++ b/dunehold/coordination/fleet.py
@@ -35,6 +35,7 @@
 RETRY_S = 2.0
 LIST_GAP_S = 5.0
 LIST_SHARE = 0.2  # of the cloud's calls
+QUARANTINE_S = 15.0  # before a machine on which tasks fail is returned
 SURE_LAGS = 3.0  # a list may be twice its lag old; clocks and calls take some more
 TROUBLE = (CloudTrouble, NoResponse, BadMessage)
 
@@ -71,7 +72,8 @@
 
     # -- returning -----------------------------------------------------------------------
 
-    def look_after(self, now: MonotonicTime) -> None:
+    def look_after(self, now: MonotonicTime, attentive_since: MonotonicTime) -> None:
+        """Return what failed, is silent, or is not wanted any more."""
         doomed: list[HostId] = []
         if not self.may_start():
             return
@@ -80,7 +82,7 @@
                 continue
             if host.fenced and host.recorded:
                 self.recorder.host(host.id)  # nothing is on it: nobody need wait for it
-            reason = self._doomed(host, now)
+            reason = self._doomed(host, now, attentive_since)
             if reason is not None:
                 log.info("host %s is returned: %s", host.id, reason)
                 host.deleting = True
@@ -88,7 +90,9 @@
         for first in range(0, len(doomed), MAX_DELETE):
             self.spawn(self._delete(doomed[first : first + MAX_DELETE]))
 
-    def _doomed(self, host: Host, now: MonotonicTime) -> str | None:
+    def _doomed(
+        self, host: Host, now: MonotonicTime, attentive_since: MonotonicTime
+    ) -> str | None:
         operator = self.settings.operator
         listed = self.listed.get(host.id)
         if listed is not None and listed.phase is HostPhase.FAILED:
@@ -97,12 +101,15 @@
         if not host.up and heard is None and host.created_at != self.ledger.took_over_at:
             kind = self.types.get(host.type)
             patience = (kind.boot_s if kind else 30.0) * operator.boot_patience
-            return "it does not come up" if now - host.created_at > patience else None
-        silent_since = heard if heard is not None else host.created_at
+            since = max(host.created_at + patience, attentive_since + self.picture.silent_s)
+            return "it does not come up" if now > since else None
+        silent_since = max(heard if heard is not None else host.created_at, attentive_since)
         if (host.up or host.fenced) and now - silent_since > operator.silent_return_s:
             return "it is silent"
         if host.draining is None or not host.known or host.notice_at is not None:
             return None
+        if host.quarantined_at is not None and now - host.quarantined_at < QUARANTINE_S:
+            return None  # what failed there may yet turn out to fail everywhere
         busy = any(run.occupies for run in host.runs.values())
         return None if busy else host.draining
 
--- a/dunehold/coordination/intake.py
+++ b/dunehold/coordination/intake.py
@@ -26,6 +26,7 @@
 
 BUSY = Response(503, users.encode_error("try again later"), retry_after=1)
 OUTAGE = Response(503, users.encode_error("the state service does not answer"), retry_after=2)
+LATEST_S = 2.0  # after the question: nobody waits any longer, and proofs have aged
 LONGEST_QUEUE_S = 0.5  # for the write budget; who would wait longer is told at once
 NOT_FOUND = Response(404, users.encode_error("no such job"))
 MAX_PENDING = 2000
@@ -104,6 +105,7 @@
     # -- queries -------------------------------------------------------------------
 
     async def _get(self, job: JobId) -> Response:
+        asked = asyncio.get_running_loop().time()
         record = self.view.jobs.get(job)
         if record is None or not record.phase.final:
             if self.sync.failing():
@@ -115,7 +117,12 @@
             record = self.view.jobs.get(job)
             if record is None:
                 return NOT_FOUND
-        return Response(200, await self._describe(record))
+        body = await self._describe(record)
+        if not record.phase.final and asyncio.get_running_loop().time() - asked > LATEST_S:
+            # The process may have stood still between the proof and this line, while
+            # another node told the user that the job is over.
+            return BUSY
+        return Response(200, body)
 
     async def _describe(self, record: JobRecord) -> bytes:
         if record.phase is JobPhase.CANCELLED:
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -15,6 +15,7 @@
 from dunehold.coordination.delivery import Delivery
 from dunehold.coordination.estimates import Estimates
 from dunehold.coordination.fleet import Fleet
+from dunehold.coordination.health import Health
 from dunehold.coordination.picture import MOST_DURATIONS, JobProgress, Picture, slowness
 from dunehold.coordination.recorder import Deposed, Recorder
 from dunehold.coordination.scheduler.measy import plan
@@ -47,12 +48,14 @@
 PREEMPT_S = 0.5
 SLOW_RATIO, MOST_SLOW, SLOW_RESULTS = 1.6, 4.0, 2
 DEAF_REPORTS = 3.0
+# With many machines, some report within any second: silence is told from chance sooner.
+MANY_HOSTS, SILENT_MARGIN_S = 8, 1.0
+FINDING_S = 4.0  # a new leader's workers need so long to find it
+STANDSTILL_S = 1.5  # between two ticks, beyond their interval: the process did not run
 SILENT_SHARE = 0.1  # of the fleet: with more unheard of, its size is not known well enough
 PLAN_SHARE = 0.15  # of the time, at most, goes on plans
 DIRECT_SOCKET_SHARE = 0.25
-ERROR_HOLD_S = 2.0
-MAX_ERROR_HOLD_S = 60.0
-BROKEN_JOB_HOSTS = 3
+SICK = "tasks fail on it"
 REFUSED_HOLD_S = 1.0
 
 
@@ -72,8 +75,10 @@
     estimates: Estimates
     connect: Connect
     wall: Callable[[], float]
+    patience: float = 1.0  # times the usual, after terms in which no worker was heard
     progress: dict[JobId, JobProgress] = field(default_factory=dict)
     held: list[Reservation] = field(default_factory=list)
+    health: Health = field(init=False)
     picture: Picture = field(init=False)
     delivery: Delivery = field(init=False)
     fleet: Fleet = field(init=False)
@@ -84,10 +89,17 @@
     _plan_timer: asyncio.TimerHandle | None = None
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _reported_known: bool = False
+    heard: bool = False  # any worker, in this term
     _heard_at: MonotonicTime = MonotonicTime(math.inf)  # when any worker came last
+    # Since when it could hear its workers without a break. Who stood still, or answered
+    # nobody for want of proof, must not take its own silence for that of the machines.
+    attentive_since: MonotonicTime = MonotonicTime(0.0)
 
     def __post_init__(self) -> None:
-        self.picture = Picture(self.settings, self.ledger, self.estimates, self.types)
+        self.health = Health(self.settings.operator.sick_after_errors)
+        self.picture = Picture(
+            self.settings, self.ledger, self.estimates, self.types, self.health
+        )
         self.delivery = Delivery(
             self.settings,
             self.ledger,
@@ -110,15 +122,19 @@
             self.may_start,
             self.spawn,
             self._lost,
-            self.delivery.drop,
+            self._host_removed,
             self.make_dirty,
         )
 
     # -- life --------------------------------------------------------------------------
 
     def start(self) -> None:
+        now = self.attentive_since = self.now()
+        if self.ledger.hosts:
+            self._heard_at = MonotonicTime(now + FINDING_S * self.patience)
         for job in list(self.view.active):
             self._take_up(job)
+        self.health.known_broken(self.view.broken & set(self.view.active), self.now())
         self.spawn(self.recorder.run())
         self.spawn(self._tick())
         self.fleet.start()
@@ -165,6 +181,7 @@
             elif self.progress.pop(job, None) is not None:
                 log.info("job %s is %s", job, record.phase.value)
                 self.ledger.done.pop(job, None)
+                self.health.forget_job(job)
         if touched:
             self.picture.guaranteed = None
             self.make_dirty()
@@ -182,6 +199,7 @@
     def report(self, report: Report) -> bytes | None:
         """The response's body, or None when this node must not answer for the leader."""
         now = self._heard_at = self.now()
+        self.heard = True
         if report.token > self.token:
             log.info(
                 "host %s has seen token %d, above %d", report.host, report.token, self.token
@@ -250,11 +268,8 @@
         progress = self.progress.get(job)
         log.info("attempt %s on %s exited: %s", run.id, host.id, exit_.why.value)
         if exit_.why is Why.DONE:
-            host.errors = 0
-            host.error_at = None
             if progress is not None:
-                progress.finished += 1
-                progress.errors = 0
+                self._rejudge({host.id, *self.health.completed(job, host.id)})
                 if run.duration_s is not None and not run.adopted:
                     self.estimates.learn(progress.spec, run.duration_s)
                     self._judge_speed(host, progress, run.duration_s)
@@ -263,28 +278,37 @@
                 self.recorder.job(job, whole)
                 return
         elif exit_.why is Why.ERROR and progress is not None:
-            self._failed(host, job, progress)
+            self._failed(host, job)
         elif exit_.why in (Why.NO_ROOM, Why.BUSY, Why.UNKNOWN) and progress is not None:
             progress.held_until = MonotonicTime(self.now() + REFUSED_HOLD_S)
         self._requeue(run.id.task)
 
-    def _failed(self, host: Host, job: JobId, progress: JobProgress) -> None:
-        """Mostly the machine is faulty; a job that fails on many machines is so itself."""
-        now = self.now()
-        progress.errors += 1
-        progress.error_hosts.add(host.id)
-        broken = len(progress.error_hosts) >= BROKEN_JOB_HOSTS and progress.finished == 0
-        if broken:
-            hold = min(MAX_ERROR_HOLD_S, ERROR_HOLD_S * 2 ** min(progress.errors, 6))
-            progress.held_until = MonotonicTime(now + hold)
-            log.info("job %s fails on every machine: held for %.0f s", job, hold)
-            return
-        host.errors += 1
-        host.error_at = now
-        host.version += 1
-        if host.errors >= self.settings.operator.sick_after_errors and host.draining is None:
-            host.draining = "tasks fail on it"
-            log.info("host %s is quarantined after %d errors", host.id, host.errors)
+    def _failed(self, host: Host, job: JobId) -> None:
+        was_broken = self.health.broken(job)
+        self._rejudge(self.health.failed(job, host.id, self.now()))
+        if self.health.broken(job) and not was_broken:
+            log.info("job %s fails on every machine: tried seldom from now on", job)
+            self.recorder.broken_jobs(self.health.broken_jobs())
+            self.picture.guaranteed = None
+
+    def _rejudge(self, hosts: set[HostId]) -> None:
+        """Bring suspicion and quarantine in line with what failures say now."""
+        for host_id in hosts:
+            host = self.ledger.hosts.get(host_id)
+            if host is None:
+                continue
+            suspect, sick = self.health.suspect(host_id), self.health.sick(host_id)
+            if suspect != (host.error_at is not None):
+                host.error_at = self.now() if suspect else None
+                host.version += 1
+            if sick and host.draining is None:
+                host.draining = SICK
+                host.quarantined_at = self.now()
+                log.info("host %s is quarantined: %s", host.id, SICK)
+            elif not sick and host.draining == SICK and not host.deleting:
+                host.draining = host.quarantined_at = None
+                log.info("host %s is used again: the jobs were at fault", host.id)
+                self._dirty = True
 
     def _judge_speed(self, host: Host, progress: JobProgress, ran_s: float) -> None:
         """One slow machine makes a whole array late. Once may be chance; twice in a row the
@@ -432,6 +456,10 @@
             if outcome.changed:
                 self.make_dirty()
 
+    def _host_removed(self, host: HostId) -> None:
+        self.delivery.drop(host)
+        self.health.forget_host(host)
+
     # -- time ----------------------------------------------------------------------------
 
     def _log_fleet(self) -> None:
@@ -450,10 +478,13 @@
 
     async def _tick(self) -> None:
         scaled_at = logged_at = 0.0
+        ticked_at = self.now()
         while True:
             await asyncio.sleep(TICK_S)
             now = self.now()
-            if now - self._heard_at > self.settings.report_s * DEAF_REPORTS:
+            self._notice_standstill(now, now - ticked_at - TICK_S)
+            ticked_at = now
+            if now - self._heard_at > self._deaf_after_s():
                 # All were here and all are silent at once: it is this node that is cut off
                 # from them, while its lease would keep every other from leading.
                 log.info("token %d: no worker is heard any more", self.token)
@@ -462,7 +493,7 @@
             self.ledger.note_relays(now)
             self._lost(self.ledger.expire(min(now, self.proved_at())))
             self._check_known()
-            self.fleet.look_after(now)
+            self.fleet.look_after(now, self.attentive_since)
             for host in self.ledger.hosts.values():
                 if host.known and self.ledger.has_direct(host):
                     self.delivery.talk(host.id)
@@ -473,9 +504,31 @@
             if now - scaled_at >= SCALE_S:
                 scaled_at = now
                 self.picture.weigh(self.progress, now)
-                unknown = len(self.ledger.unknown_hosts())
-                if self.may_start() and unknown <= len(self.ledger.hosts) * SILENT_SHARE:
+                if self._knows_fleet(now):
                     self.fleet.scale(self.progress, now)
             if now - logged_at >= LOG_S:
                 logged_at = now
                 self._log_fleet()
+
+    def _notice_standstill(self, now: MonotonicTime, late_s: float) -> None:
+        """Whatever was silent meanwhile, this node was too."""
+        if late_s > STANDSTILL_S:
+            log.info("token %d: stood still for %.1f s", self.token, late_s)
+            self.attentive_since = now
+            if self._heard_at < now:
+                self._heard_at = now
+        elif not self.may_feed():
+            self.attentive_since = now
+
+    def _deaf_after_s(self) -> float:
+        """Reports come every ``report_s``, give or take a quarter."""
+        report_s = self.settings.report_s
+        if len(self.ledger.hosts) >= MANY_HOSTS:
+            return (1.25 * report_s + SILENT_MARGIN_S) * self.patience
+        return DEAF_REPORTS * report_s * self.patience
+
+    def _knows_fleet(self, now: MonotonicTime) -> bool:
+        """Its size is not judged by a leader that has yet to hear from its machines."""
+        if not self.may_start() or now - self.attentive_since < self.picture.silent_s:
+            return bool(self.may_start() and not self.ledger.hosts)
+        return len(self.ledger.unknown_hosts()) <= len(self.ledger.hosts) * SILENT_SHARE
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import secrets
 import time
@@ -52,6 +53,7 @@
 PEER_TIMEOUT_S = 0.3
 RUNNING_AGE_S = 1.0
 ABSTAIN_S = 6.0
+MOST_PATIENCE = 16  # of terms in which no worker was heard: leadership must not go round
 COMPARE_S, FRESH_S, NEVER_S = 1.0, 2.0, 1e9
 RESERVED_SOCKETS = 64  # for the state service, the cloud and peers
 BARRIER_GAP_S = 0.08
@@ -90,6 +92,9 @@
     _running_at: MonotonicTime = MonotonicTime(-1e9)
     _abstain_until: MonotonicTime = MonotonicTime(-1e9)  # others should lead, if they can
     _alone: bool = False  # the state service serves others, but not this node
+    _isolated: bool = False  # neither the state service nor any peer answers
+    _deaf_terms: int = 0  # led in a row without hearing a worker
+    _resigning: set[asyncio.Task[None]] = field(default_factory=set)
     _election: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
@@ -216,12 +221,15 @@
         if request.path == workers.REPORT_PATH and request.method == "POST":
             return self._report(request.body)
         if request.path == users.HEALTH_PATH:
-            return Response(503 if self._alone else 200)
+            return Response(503 if self._alone or self._isolated else 200)
         response = await self.intake.handle(request)
         if response is None:
             return Response(404, users.encode_error("no such path"))
-        # Kept open, the connection would bring its user's next try here as well.
-        return response._replace(close=True) if self._alone else response
+        if response.status == 503 or self._alone or self._isolated:
+            # Kept open, the connection would bring its user's next try here as well, and
+            # every try for a job could fail at one node while all others would answer.
+            return response._replace(close=True)
+        return response
 
     def _report(self, body: bytes) -> Response:
         try:
@@ -260,11 +268,15 @@
             since = self.sync.failing_since
             if since is None or self.now() - since < COMPARE_S:
                 self._set_alone(False)
+                self._isolated = False
                 continue
             answers = await asyncio.gather(
                 *(self._proof_age(p.name) for p in self.settings.peers)
             )
             self._set_alone(any(age < FRESH_S for age in answers))
+            # Whether all see the outage can't be told: users do better elsewhere, while
+            # running work is kept alive as in an outage of all.
+            self._isolated = bool(answers) and all(age >= NEVER_S for age in answers)
 
     async def _proof_age(self, name: NodeId) -> float:
         client = self._peer_client(name)
@@ -449,6 +461,7 @@
             self.estimates,
             self.connect,
             self.wall,
+            float(min(2**self._deaf_terms, MOST_PATIENCE)),
         )
         log.info(
             "node %s leads with token %d: %d active jobs, %d machines on record",
@@ -481,6 +494,10 @@
         except TROUBLE as error:
             log.info("leadership not renewed: %s", error)
 
+    async def _resign(self, lease: LeaseId) -> None:
+        with contextlib.suppress(*TROUBLE):
+            await self.state.drop_lease(lease)
+
     def _may_start(self) -> bool:
         """Nothing is started without proof of still being the leader."""
         return self.leader is not None and self.now() < self.lease_until
@@ -496,8 +513,14 @@
         log.info(
             "node %s no longer leads (token %d): %s", self.settings.node, leader.token, reason
         )
-        self.lease = None
+        self._deaf_terms = 0 if leader.heard else self._deaf_terms + 1
+        lease, self.lease = self.lease, None
         self.lease_until = MonotonicTime(-1e9)
         leader.stop()
+        if lease is not None:
+            # Left to run out, the lease would keep all others from leading meanwhile.
+            task = asyncio.get_running_loop().create_task(self._resign(lease))
+            self._resigning.add(task)
+            task.add_done_callback(self._resigning.discard)
         self._take_share(leading=False)
         self._election.set()
--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture.py
@@ -12,6 +12,7 @@
 from dunehold.bookkeeping.records import JobRecord
 from dunehold.coordination.autoscaler import Demand, FleetHost, Offer
 from dunehold.coordination.estimates import Estimates
+from dunehold.coordination.health import Health
 from dunehold.coordination.scheduler.model import Entry, HostState, RunState, Snapshot
 from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.users import JobSpec
@@ -53,10 +54,7 @@
     waiting: set[int]
     limits: list[float] = field(default_factory=list)  # when its aims want it complete
     start_limit: float = MANY  # when its class wants it started
-    errors: int = 0
-    finished: int = 0
     durations: list[float] = field(default_factory=list)  # of its tasks, in order
-    error_hosts: set[HostId] = field(default_factory=set)
     held_until: MonotonicTime = MonotonicTime(-1e9)
 
 
@@ -87,6 +85,7 @@
     ledger: Ledger
     estimates: Estimates
     types: dict[TypeName, MachineType]
+    health: Health
     wanted: dict[frozenset[TypeName], float] = field(default_factory=dict)
     weighed_at: MonotonicTime = MonotonicTime(0.0)
     peaks: deque[tuple[float, float]] = field(default_factory=deque)  # (when, cpus wanted)
@@ -118,7 +117,7 @@
             self.guaranteed = self._guaranteed_jobs(jobs)
         entries = []
         for job, progress in jobs.items():
-            if not progress.waiting or now < progress.held_until:
+            if not progress.waiting or self._held(job, progress, now):
                 continue
             record = self.ledger.view.active.get(job)
             if record is None:
@@ -182,7 +181,9 @@
             return host_allowed(spec, host.type, host.zone, host.spot)
 
         gang = spec.kind is Kind.GANG
-        tasks = progress.waiting if gang else islice(progress.waiting, TASKS_A_PLAN)
+        broken = self.health.broken(spec.id)
+        most = 1 if broken else TASKS_A_PLAN
+        tasks = progress.waiting if gang else islice(progress.waiting, most)
         return Entry(
             job=spec.id,
             team=spec.team,
@@ -197,12 +198,20 @@
             service=spec.kind is Kind.SERVICE,
             gang=gang,
             guaranteed=guaranteed,
+            broken=broken,
+            avoided=self.health.avoided(spec.id),
             patience_s=self._patience(progress, waited, run_s, guaranteed),
             zone_limit=(spec.tasks + 1) // 2 if spec.spread else None,
             one_zone=spec.one_zone,
             zones=dict(self.ledger.job_zones(spec.id)),
         )
 
+    def _held(self, job: JobId, progress: JobProgress, now: MonotonicTime) -> bool:
+        if now < progress.held_until or self.health.held(job, now):
+            return True
+        # One that fails everywhere is tried with one task at a time.
+        return self.health.broken(job) and job in self.ledger.by_job
+
     def _order(
         self, progress: JobProgress, waited: float, run_s: float, at: float
     ) -> tuple[float, ...]:
@@ -237,7 +246,12 @@
         ranks: dict[Rank, list[JobId]] = {}
         active = self.ledger.view.active
         for job, progress in jobs.items():
-            if progress.waiting and job in active and progress.spec.kind is not Kind.SERVICE:
+            if (
+                progress.waiting
+                and job in active
+                and progress.spec.kind is not Kind.SERVICE
+                and not self.health.broken(job)
+            ):
                 ranks.setdefault(progress.spec.rank, []).append(job)
         wanted = 0.0
         for rank in sorted(ranks, reverse=True):
@@ -357,6 +371,8 @@
             team = self.settings.teams.get(spec.team)
             if team is None or (team.guarantee.cpus <= 0 and team.guarantee.gpus <= 0):
                 continue
+            if self.health.broken(record.id):
+                continue  # it takes no room of the guarantee from jobs that can run
             left = len(progress.waiting) + len(self.ledger.by_job.get(record.id, ()))
             need = spec.need
             total = sums.get(spec.team, NO_ROOM).plus(
@@ -403,6 +419,8 @@
                 room[host.type] = room.get(host.type, 0.0) + host.room.cpus
         wanted: dict[frozenset[TypeName], float] = {}
         for job, progress in jobs.items():
+            if self.health.broken(job):
+                continue
             spec = progress.spec
             fits = frozenset(name for name in room if self.types[name].room.holds(spec.need))
             if spec.types is not None:
@@ -440,7 +458,10 @@
         waiting = [
             (-progress.spec.rank, active[job].accepted_at, job)
             for job, progress in jobs.items()
-            if progress.waiting and now >= progress.held_until and job in active
+            if progress.waiting
+            and job in active
+            and now >= progress.held_until
+            and not self.health.broken(job)
         ]
         room: dict[Team, float] = {}
         for *_, job in sorted(waiting):
--- a/dunehold/coordination/recorder.py
+++ b/dunehold/coordination/recorder.py
@@ -53,6 +53,7 @@
     new_rentals: dict[RentalId, Rental] = field(default_factory=dict)
     ended_rentals: set[RentalId] = field(default_factory=set)
     starts: dict[AttemptId, Run] = field(default_factory=dict)
+    new_broken: set[JobId] | None = None  # to be written
     _in_doubt: set[str] = field(default_factory=set)  # keys with a write that may come late
     _slot: int = 0  # of the log of starts, written next
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
@@ -90,6 +91,11 @@
         self.starts[run.id] = run
         self._wake.set()
 
+    def broken_jobs(self, jobs: set[JobId]) -> None:
+        """A next leader must not find out anew, with a wave of failures for each."""
+        self.new_broken = jobs
+        self._wake.set()
+
     def end_rental(self, rental: RentalId) -> None:
         self.ended_rentals.add(rental)
         self._wake.set()
@@ -126,6 +132,7 @@
             or self.dirty_hosts
             or self.new_rentals
             or self.ended_rentals
+            or self.new_broken is not None
         )
 
     async def _flush(self) -> None:
@@ -143,6 +150,12 @@
                 ended.append(name)
                 if name in self.view.rentals:
                     txn.deletes.add(records.RENTALS + name)
+        broken = self.new_broken
+        if broken is not None and txn.size < limit:
+            room = self.settings.value_bytes * 3 // 4
+            txn.puts[records.BROKEN] = records.encode_broken(
+                broken & set(self.view.active), room
+            )
         jobs = []
         for job in list(self.dirty_jobs):
             if txn.size >= limit:
@@ -177,6 +190,8 @@
         for rental in rentals:
             self.new_rentals.pop(rental.id, None)
         self.ended_rentals.difference_update(ended)
+        if records.BROKEN in txn.puts and self.new_broken is broken:
+            self.new_broken = None
         for host_id in hosts:
             # What changed while this was under way is still to be written.
             if self._wanted_host(host_id) == self.view.hosts.get(host_id):
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -48,6 +48,7 @@
 LONGEST_WAIT_S = 600.0  # stands for waits without an end in sight
 SCARCITY_COST_S = 30.0
 BACKGROUND_CHANCE = 0.5
+AVOIDED_COST_S = 60.0
 PLANNED = Attempt(0)  # stands for attempts that this very plan starts
 
 GroupKey = tuple[TypeName, Zone, bool]
@@ -126,7 +127,7 @@
         leftovers: list[Entry] = []
         for entry in self.entries:
             self._start_entry(entry)
-            if entry.waiting:
+            if entry.waiting and not entry.broken:
                 leftovers.append(entry)
         self._lift_background()
         if self.policy.background:
@@ -201,7 +202,9 @@
             return
         if not self.reserved or self.policy.backfill:
             self._place(entry)
-        if not entry.waiting or entry.team_slots <= 0 or not self._team_allows(entry):
+        if entry.broken or not entry.waiting:
+            return
+        if entry.team_slots <= 0 or not self._team_allows(entry):
             return  # a team at its limit waits for itself, not for room
         self._hold_room(entry)
 
@@ -306,6 +309,8 @@
         scarcity = self._group(host).scarcity
         wait = _fetch_s(entry, host) + SCARCITY_COST_S * scarcity + host.penalty_s
         wait += (host.slowness - 1.0) * entry.run_s
+        if host.id in entry.avoided:
+            wait += AVOIDED_COST_S  # a further try there would say nothing new
         return (wait, host.free.cpus - entry.need.cpus, host.id, host)
 
     def _candidates(self, entry: Entry) -> list[tuple[float, float, HostId, HostState]]:
@@ -321,8 +326,11 @@
             hosts = [h for group in groups for h in group.open.values()]
         found = []
         free_of_holds = False
+        # Whether a need finds no room is told to others only if nothing else decided it.
+        picky = bool(entry.zone_limit or entry.one_zone)
         for host in hosts:
             if not self._fits_now(entry, host):
+                picky = picky or host.slowness > 1.0
                 continue
             if host.id in self.reserved:
                 if not self._backfills(entry, host):
@@ -330,7 +338,7 @@
             else:
                 free_of_holds = True
             found.append(self._cost(entry, host))
-        if not full and not free_of_holds and not entry.zone_limit and not entry.one_zone:
+        if not full and not free_of_holds and not picky:
             failures.append(entry.need)
         found.sort(key=lambda cost: cost[:3])
         return found
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -106,6 +106,8 @@
     service: bool = False
     gang: bool = False  # all waiting tasks start together or none does
     guaranteed: bool = False
+    broken: bool = False  # failed on every machine so far: tried, but no room is held for it
+    avoided: frozenset[HostId] = frozenset()  # a task of it failed there
     patience_s: float = 1e9  # how long it can wait without missing an aim
     zone_limit: int | None = None  # most tasks in a zone
     one_zone: bool = False
--- a/dunehold/protocol/state.py
+++ b/dunehold/protocol/state.py
@@ -176,7 +176,7 @@
             raise Unavailable(f"extend: status {status}")
 
     async def drop_lease(self, lease: LeaseId) -> None:
-        await self._call("DELETE", f"/leases/{lease}", None, Priority.LEADER)
+        await self._call("DELETE", f"/leases/{lease}", None, Priority.LEASE)
 
     async def changes(
         self, prefix: str, after: Revision, hold_s: float, priority: int, paid: bool = False
