Tests: standstills, lost sight, long silences, odd boots, guests and broken jobs

The seeded worlds play what the operators wrote of, alone and combined with the earlier troubles, with 3, 5 and 7 nodes: a node's own timers and messages stand still while the clock goes on, lists are old, boots are early, late or never.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,11 +9,12 @@
 import pytest
 
 from dunehold.bookkeeping.ledger import Ledger
+from dunehold.coordination.leader import Leader
 from dunehold.coordination.node import Node
 from dunehold.coordination.relay import Relay
 from tests import world as world_module
 from tests.virtual import VirtualLoop
-from tests.world import ZONES, RuleBroken, World
+from tests.world import ZONES, NodeBox, RuleBroken, World
 
 BUSY_S, END_S = 90.0, 240.0
 
@@ -105,11 +106,77 @@
                     world.cloud.remove(other)
 
 
+def leader_or_any(world: World) -> NodeBox:
+    leading = [n for n in world.nodes if n.node is not None and n.node.leader is not None]
+    return world.rng.choice(leading if leading and world.rng.random() < 0.6 else world.nodes)
+
+
+async def standstills(world: World) -> None:
+    """A controller gets no processor for a while, and its clock runs on."""
+    for _ in range(6):
+        await asyncio.sleep(world.rng.uniform(4.0, 14.0))
+        leader_or_any(world).stand_still(world.rng.choice([1.0, 2.5, 4.0, 8.0, 30.0]))
+
+
+async def lost_sight(world: World) -> None:
+    """A controller loses the state service, the cloud, its peers or the workers, or all."""
+    rng = world.rng
+    for _ in range(4):
+        await asyncio.sleep(rng.uniform(5.0, 15.0))
+        box = leader_or_any(world)
+        names = {
+            "state": ["state"],
+            "cloud": ["cloud"],
+            "peers": [n.name for n in world.nodes if n is not box],
+            "workers": list(world.cloud.workers),
+        }
+        everybody = [name for group in names.values() for name in group]
+        lost = rng.choice([*names, *names, "all"])
+        mode = rng.choice(["hold", "reset", "refuse"])
+        seconds = rng.uniform(4.0, 50.0)
+        for other in everybody if lost == "all" else names[lost]:
+            for source in (box.name, f"{box.name}#{box.life}"):
+                world.spawn(world.network.for_a_while(other, source, mode, seconds))
+
+
+async def long_silences(world: World) -> None:
+    """A controller is away for a minute or more."""
+    for _ in range(2):
+        await asyncio.sleep(world.rng.uniform(8.0, 25.0))
+        world.spawn(leader_or_any(world).restart(world.rng.uniform(50.0, 90.0)))
+
+
+async def boots(world: World) -> None:
+    """Machines come up at once, late or never, and lists are old."""
+    cloud = world.cloud
+    cloud.lag_s = 3.0
+    while True:
+        cloud.dead_boots = world.rng.choice([0.0, 0.3, 0.8])
+        cloud.boot_times = world.rng.choice([(0.2, 1.0), (8.0, 30.0, 60.0), (6.0, 10.0)])
+        await asyncio.sleep(world.rng.uniform(10.0, 25.0))
+
+
+async def visitors(world: World) -> None:
+    """Guests with wide jobs of low rank, broken jobs, and many more questions."""
+    world.guests, world.broken_share = 0.3, 0.2
+    while True:
+        world.asks_every = world.rng.choice([5.0, 0.6])
+        await asyncio.sleep(10.0)
+
+
 async def everything(world: World) -> None:
     for fault in (crashes, cuts, outages, machines):
         world.spawn(fault(world))
 
 
+async def bad_nights(world: World) -> None:
+    """What the operators wrote of, and the earlier troubles, a few at a time."""
+    kinds = [standstills, lost_sight, long_silences, boots, visitors]
+    others = [crashes, cuts, outages, machines]
+    for fault in [*world.rng.sample(kinds, 3), *world.rng.sample(others, 2)]:
+        world.spawn(fault(world))
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_quiet_day_is_served(seed: int) -> None:
     world = play(seed, quiet)
@@ -131,6 +198,19 @@
     assert play(seed, everything, nodes=(3, 5, 7)[seed % 3]).checker.starts > 5
 
 
+@pytest.mark.parametrize("seed", range(60, 63))
+@pytest.mark.parametrize("faults", [standstills, lost_sight, long_silences, boots, visitors])
+def test_rules_hold_on_bad_nights(
+    faults: Callable[[World], Awaitable[None]], seed: int
+) -> None:
+    assert play(seed, faults, nodes=(3, 5)[seed % 2]).checker.starts > 20
+
+
+@pytest.mark.parametrize("seed", range(80, 92))
+def test_rules_hold_when_bad_nights_meet(seed: int) -> None:
+    assert play(seed, bad_nights, nodes=(3, 5, 7)[seed % 3]).checker.starts > 5
+
+
 async def long_cuts(world: World) -> None:
     for mode in ("hold", "reset"):
         await asyncio.sleep(20.0)
@@ -199,3 +279,20 @@
     with pytest.raises(RuleBroken, match="quota"):
         for seed in range(10, 16):
             play(seed, quiet)
+
+
+async def long_outage(world: World) -> None:
+    await asyncio.sleep(40.0)
+    before = set(world.cloud.workers)
+    await world.state.outage(60.0)
+    await asyncio.sleep(8.0)
+    world.kept = len(before & set(world.cloud.workers)) / max(1, len(before))
+
+
+def test_a_leader_that_could_not_hear_takes_no_machine_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After an outage, or a standstill, the whole fleet seemed to have been silent."""
+    assert min(play(seed, long_outage).kept for seed in range(90, 93)) > 0.8
+    monkeypatch.setattr(Leader, "_notice_standstill", lambda *_: None)
+    assert min(play(seed, long_outage).kept for seed in range(90, 93)) < 0.5
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -1,12 +1,23 @@
-"""An asyncio event loop on virtual time: waiting costs nothing, and runs repeat."""
+"""An asyncio event loop on virtual time: waiting costs nothing, and runs repeat.
+
+What runs in the context of an ``OWNER`` can be made to stand still while the clock goes on, as
+a process does that gets no processor: nothing of it runs, its timers all fire at the end, and
+what arrives meanwhile waits.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import heapq
 import selectors
+from collections import deque
 from collections.abc import Mapping
+from contextvars import Context, ContextVar
 from typing import Any
 
+OWNER: ContextVar[Any] = ContextVar("owner", default=None)
+NOBODY = Context()  # things that happen outside of all processes
+
 
 class _Selector(selectors.BaseSelector):
     """Instead of waiting for a timeout, moves the clock on."""
@@ -39,6 +50,33 @@
         self.clock = _Selector()
         super().__init__(self.clock)
         self.slow_callback_duration = 1e9
+        self.standing: set[Any] = set()
+        self._waiting: dict[Any, list[asyncio.Handle]] = {}
+
+    def stand_still(self, owner: Any, seconds: float) -> None:
+        until = self.time() + seconds
+        self.standing.add(owner)
+        for timer in self._scheduled:
+            if timer._context.get(OWNER) is owner and timer._when < until:
+                timer._when = until
+        heapq.heapify(self._scheduled)
+        self.call_at(until, self._go_on, owner, context=NOBODY)
+
+    def _go_on(self, owner: Any) -> None:
+        self.standing.discard(owner)
+        self._ready.extend(self._waiting.pop(owner, ()))
+
+    def _run_once(self) -> None:
+        if self.standing:
+            ready: deque[asyncio.Handle] = deque()
+            for handle in self._ready:
+                owner = handle._context.get(OWNER)
+                if owner in self.standing:
+                    self._waiting.setdefault(owner, []).append(handle)
+                else:
+                    ready.append(handle)
+            self._ready = ready
+        super()._run_once()
 
     def time(self) -> float:
         return self.clock.now
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,8 +8,9 @@
 
 import asyncio
 import contextlib
+import contextvars
 import random
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -27,6 +28,7 @@
 )
 from dunehold.transport.http import NoResponse, Refused, Request
 from dunehold.types import Duration, NodeId, Room, Team, Zone
+from tests.virtual import NOBODY, OWNER, VirtualLoop
 
 ZONES = ("north", "south")
 LEASE_S, CANCEL_S, REPORT_S = 10.0, 30.0, 2.0
@@ -53,7 +55,8 @@
         self.rng = rng
         self.services: dict[str, Service] = {}
         self.zone_of: dict[str, str] = {}
-        self.cuts: dict[frozenset[str], str] = {}  # pair of names or zones -> hold, reset
+        # pair of names or zones -> hold, reset, refuse
+        self.cuts: dict[frozenset[str], str] = {}
         self.healed = asyncio.Event()
 
     def cut_between(self, a: str, b: str) -> str | None:
@@ -77,6 +80,8 @@
         while (mode := self.cut_between(a, b)) is not None:
             if mode == "reset":
                 raise ConnectionResetError
+            if mode == "refuse":
+                raise ConnectionRefusedError
             await self.healed.wait()
 
     async def call(self, a: str, b: str, method: str, target: str, body: bytes | None) -> Reply:
@@ -100,8 +105,10 @@
     async def request(
         self, method: str, target: str, body: bytes | None, timeout_s: float
     ) -> Reply:
-        call = asyncio.create_task(
-            self.network.call(self.source, self.target, method, target, body)
+        # What is on its way goes on, whatever becomes of the process that sent it.
+        call = asyncio.get_running_loop().create_task(
+            self.network.call(self.source, self.target, method, target, body),
+            context=NOBODY.copy(),
         )
         call.add_done_callback(lambda task: task.cancelled() or task.exception())
         try:
@@ -417,7 +424,7 @@
         task.on_machine = True
         self.world.checker.started(task.item, self)
         self.wake.set()
-        if self.sick:
+        if self.sick or job.get("broken"):
             await asyncio.sleep(0.3)
             if not over():
                 self._end(task, "error")
@@ -431,6 +438,7 @@
 
     def _end(self, task: WorkerTask, cause: str) -> None:
         self._off(task)
+        self.world.errors += cause == "error"
         task.phase, task.cause = "ended", cause
         self.wake.set()
 
@@ -446,6 +454,9 @@
         self.failed: dict[str, tuple[str, str, bool, float]] = {}
         self.rentals: dict[str, list[str]] = {}
         self.count = 0
+        self.dead_boots, self.boot_times = 0.03, (0.5, 6.0, 8.0, 10.0, 20.0)
+        self.lag_s = 0.0  # lists are up to twice as old
+        self._lists: deque[tuple[float, list[dict[str, Any]]]] = deque(maxlen=200)
         self.capacity = {("small", z, s): 5 for z in ZONES for s in (True, False)}
         self.capacity |= {("big", z, s): 1 for z in ZONES for s in (True, False)}
 
@@ -465,7 +476,17 @@
             for name in row["hosts"]:
                 self.remove(name)
             return 200, b"{}"
-        return 200, dump({"hosts": self._list(), "more": False})
+        return 200, dump({"hosts": self._old_list(), "more": False})
+
+    async def lag(self) -> None:
+        while True:
+            self._lists.append((self.world.now(), self._list()))
+            await asyncio.sleep(0.5)
+
+    def _old_list(self) -> list[dict[str, Any]]:
+        before = self.world.now() - self.world.rng.uniform(0.0, 2.0) * self.lag_s
+        old = [rows for at, rows in self._lists if at <= before]
+        return old[-1] if old and self.lag_s else self._list()
 
     def _kind(self, name: str) -> tuple[str, str, bool] | None:
         worker = self.workers.get(name)
@@ -507,9 +528,9 @@
         return 200, dump({"hosts": names})
 
     async def _boot(self, name: str) -> None:
-        if self.world.rng.random() < 0.03:
+        if self.world.rng.random() < self.dead_boots:
             return  # it never comes up
-        await asyncio.sleep(self.world.rng.choice([0.5, 6.0, 8.0, 10.0, 20.0]))
+        await asyncio.sleep(self.world.rng.choice(self.boot_times))
         kind = self.booting.pop(name, None)
         if kind is not None:
             self.workers[name] = Worker(self.world, name, *kind[:3])
@@ -613,6 +634,8 @@
         self.life = 0
         self.node: Node | None = None
         self.task: asyncio.Task[None] | None = None
+        self.context = contextvars.Context()
+        self.context.run(OWNER.set, self)
         world.network.zone_of[self.name] = ZONES[index % 2]
 
     def boot(self) -> None:
@@ -632,7 +655,8 @@
         )
         if self.world.tamper is not None:
             self.world.tamper(self.node)
-        self.task = asyncio.create_task(self.node.act())
+        loop = asyncio.get_running_loop()
+        self.task = loop.create_task(self.node.act(), context=self.context)
         network.services[self.name] = self._handle
 
     async def _handle(self, method: str, target: str, body: bytes | None, source: str) -> Reply:
@@ -640,7 +664,9 @@
         if node is None:
             raise ConnectionRefusedError
         serve = node.handle_peer if target.startswith("/peer/") else node.handle
-        response = await serve(Request(method, target, {}, body or b""))
+        loop = asyncio.get_running_loop()
+        request = Request(method, target, {}, body or b"")
+        response = await loop.create_task(serve(request), context=self.context)
         if self.node is not node:
             raise ConnectionResetError
         return response.status, response.body
@@ -653,6 +679,11 @@
             self.task.cancel()
         self.node = self.task = None
 
+    def stand_still(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        loop.stand_still(self, seconds)
+
     async def restart(self, after: float) -> None:
         self.crash()
         await asyncio.sleep(after)
@@ -671,7 +702,12 @@
         self.network = Network(self.rng)
         self.state = StateService()
         self.jobs: dict[str, dict[str, Any]] = OrderedDict()
-        self.limits = {"blue": 24.0, "red": 0.0}
+        self.limits = {"blue": 24.0, "red": 0.0, "guest": 0.0}
+        self.broken_share = 0.0  # of the jobs, submitted with a mistake
+        self.guests = 0.0  # share of jobs that are a guest's: wide, of low rank
+        self.asks_every = 5.0
+        self.errors = 0  # tasks that failed
+        self.kept = 1.0  # share of the machines, over some trouble
         self.completed: set[tuple[str, int]] = set()
         self.cancel_asked: set[str] = set()
         self.broken: list[str] = []
@@ -708,7 +744,12 @@
             zones=tuple(Zone(zone) for zone in ZONES),
             clock_error_s=Duration(0.01),
             teams={
-                Team(name): TeamSettings(Team(name), Room(8.0, 0.0, 1e9), limit or None, None)
+                Team(name): TeamSettings(
+                    Team(name),
+                    Room(0.0 if name == "guest" else 8.0, 0.0, 1e9),
+                    limit or None,
+                    None,
+                )
                 for name, limit in self.limits.items()
             },
             objectives=(Objective("wait", "quick", 0.9, Duration(4.0), 1.0),),
@@ -732,6 +773,8 @@
     def make_job(self, number: int) -> dict[str, Any]:
         rng = self.rng
         quick = rng.random() < 0.3
+        if rng.random() < self.guests:
+            return self._guest_job(number)
         spread = rng.random() < 0.15
         return {
             "uid": f"job-{number:06d}",
@@ -755,11 +798,28 @@
             "flush_s": 0.5,
             "due_s": rng.choice([None, 60.0]),
             "real_s": rng.uniform(2.0, 25.0),
+            "broken": rng.random() < self.broken_share,
         }
 
+    def _guest_job(self, number: int) -> dict[str, Any]:
+        rng = self.rng
+        units, cpus, real_s, saves = rng.choice(
+            [(300, 0.25, 2.0, 0.0), (30, 1.0, 40.0, 4.0), (1, 0.5, 1.0, 0.0)]
+        )
+        return {
+            "uid": f"job-{number:06d}", "jobclass": "leftover", "owner": "guest",
+            "shape": "batch", "rank": "idle", "units": units, "vcpus": cpus, "gpus": 0.0,
+            "memory_gb": 0.5, "bundle": "img-9", "size_gb": 0.5, "flavours": None,
+            "hall": None, "together": False, "spread": False, "loaner": True,
+            "expect_s": real_s, "snapshot_s": saves, "flush_s": 0.5, "due_s": None,
+            "real_s": real_s,
+        }  # fmt: skip
+
     async def user(self, job: dict[str, Any], cancel_after: float | None) -> None:
         uid = job["uid"]
-        body = {k: v for k, v in job.items() if k != "real_s"}
+        body = {k: v for k, v in job.items() if k not in ("real_s", "broken")}
+        if job.get("broken"):
+            cancel_after = cancel_after or 60.0
         if job["shape"] == "standing":
             cancel_after = cancel_after or 30.0
         self.jobs[uid] = job
@@ -774,7 +834,7 @@
             if status == 200:
                 self.checker.answer(uid, row["phase"])
         while True:
-            await asyncio.sleep(5.0 * self.rng.uniform(0.8, 1.2))
+            await asyncio.sleep(self.asks_every * self.rng.uniform(0.8, 1.2))
             status, row = await self._ask("GET", f"/v1/jobs/{uid}", None, (200, 404), 2.0)
             if status == 404:
                 self.checker.broken("forgotten", uid)
@@ -836,6 +896,7 @@
         for node in self.nodes:
             node.boot()
         self.spawn(self.stranger())
+        self.spawn(self.cloud.lag())
         self.spawn(self.arrivals(busy_s))
         self.spawn(faults(self))
         checking = asyncio.ensure_future(self.watch_rules())
