--- a/dunehold/coordination/fleet.py
+++ b/dunehold/coordination/fleet.py
@@ -171,14 +171,31 @@
                 offer = rent.offer
                 rentals.append(Rental(name, offer.type, offer.zone, offer.spot, rent.number))
             await self.recorder.record_rentals(rentals)
+            offers: dict[Offer, list[Rental]] = {}
+            for rental in rentals:
+                offers.setdefault(_offer(rental), []).append(rental)
             async with asyncio.TaskGroup() as group:
-                for rental in rentals:
-                    group.create_task(self._rent(rental))
+                for same in sorted(offers.values(), key=self._cpus, reverse=True):
+                    group.create_task(self._rent_offer(same))
         finally:
             self._renting = False
 
+    def _cpus(self, rentals: list[Rental]) -> float:
+        """What a call brings: calls are few, and those that bring most go first."""
+        return max(self.types[r.type].room.cpus * r.number for r in rentals)
+
+    async def _rent_offer(self, rentals: list[Rental]) -> None:
+        """One after the other: once the cloud has no more, further calls are wasted."""
+        began = self.now()
+        for rental in rentals:
+            at = self.refused.get(_offer(rental))
+            if at is None or at < began:
+                await self._rent(rental)
+            else:
+                self.recorder.end_rental(rental.id)  # never asked for
+
     async def _rent(self, rental: Rental) -> None:
-        offer = Offer(rental.type, rental.zone, rental.spot)
+        offer = _offer(rental)
         while True:
             try:
                 hosts = await self.cloud.rent(rental)
@@ -251,3 +268,7 @@
                 log.info("host %s is gone: it is not listed any more", host.id)
                 self._gone(host.id)
                 self.on_change()
+
+
+def _offer(rental: Rental) -> Offer:
+    return Offer(rental.type, rental.zone, rental.spot)
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -94,6 +94,7 @@
     # Since when it could hear its workers without a break. Who stood still, or answered
     # nobody for want of proof, must not take its own silence for that of the machines.
     attentive_since: MonotonicTime = MonotonicTime(0.0)
+    _stood_still_at: MonotonicTime = MonotonicTime(-1e9)
 
     def __post_init__(self) -> None:
         self.health = Health(self.settings.operator.sick_after_errors)
@@ -514,11 +515,11 @@
         """Whatever was silent meanwhile, this node was too."""
         if late_s > STANDSTILL_S:
             log.info("token %d: stood still for %.1f s", self.token, late_s)
-            self.attentive_since = now
+            self.attentive_since = self._stood_still_at = now
             if self._heard_at < now:
                 self._heard_at = now
         elif not self.may_feed():
-            self.attentive_since = now
+            self.attentive_since = self._stood_still_at = now
 
     def _deaf_after_s(self) -> float:
         """Reports come every ``report_s``, give or take a quarter."""
@@ -529,6 +530,6 @@
 
     def _knows_fleet(self, now: MonotonicTime) -> bool:
         """Its size is not judged by a leader that has yet to hear from its machines."""
-        if not self.may_start() or now - self.attentive_since < self.picture.silent_s:
-            return bool(self.may_start() and not self.ledger.hosts)
+        if not self.may_start() or now - self._stood_still_at < self.picture.silent_s:
+            return False
         return len(self.ledger.unknown_hosts()) <= len(self.ledger.hosts) * SILENT_SHARE
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -524,7 +524,7 @@
     def _could_preempt(self, entry: Entry) -> bool:
         """Is there any work that may be stopped for it?"""
         if self._lowest is None:
-            ranks = (run.rank for host in self._all_hosts() for run in host.runs)
+            ranks = (host.lowest for host in self._all_hosts())
             self._lowest = min(ranks, default=Rank.PRODUCTION)
         return entry.rank > self._lowest or (entry.guaranteed and bool(self.borrowed))
 
@@ -575,6 +575,8 @@
             for host in group.hosts.values():
                 if host.ready_at > self.now or not self._suits(entry, host):
                     continue
+                if host.lowest >= entry.rank and not entry.guaranteed:
+                    continue  # nothing there may be stopped for it
                 if host.free.holds(entry.need):
                     continue  # it is held for the head, which goes first
                 choice = self._victims(entry, host)
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -59,12 +59,14 @@
     fetching: frozenset[Image] = frozenset()  # these share its rate
     background: bool = False  # some run is in the background tier
     first_end: float = 0.0  # no foreground run ends before it
+    lowest: Rank = Rank.PRODUCTION  # of the runs on it
 
     def __post_init__(self) -> None:
         self._summarise()
 
     def _summarise(self) -> None:
         self.background = any(run.tier is Tier.BACKGROUND for run in self.runs)
+        self.lowest = min((run.rank for run in self.runs), default=Rank.PRODUCTION)
         self.first_end = min(
             (run.ends_at for run in self.runs if run.tier is Tier.FOREGROUND or run.stopping),
             default=0.0,
@@ -79,6 +81,7 @@
             self.images |= {image}
             self.fetching |= {image}
         self.runs += (run,)
+        self.lowest = min(self.lowest, run.rank)
         if run.tier is Tier.BACKGROUND:
             self.background = True
         elif len(self.runs) == 1 or run.ends_at < self.first_end:
@@ -161,8 +164,8 @@
     lifting: bool = True
     preemption: bool = True
     moves: int = 4
-    stops: int = 8
-    preempting: int = 4  # entries a plan that room may be cleared for
+    stops: int = 400
+    preempting: int = 12  # entries a plan that room may be cleared for
 
 
 @dataclass(slots=True)
