--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture.py
@@ -277,7 +277,11 @@
         slacks.extend(limit - waited - run_s for limit in progress.limits)
         if guaranteed:
             slacks.append(self.guarantee_s - waited)
-        return min((slack for slack in slacks if slack >= 0), default=MANY)
+        found = min((slack for slack in slacks if slack >= 0), default=MANY)
+        if found < MANY:
+            return found
+        # All are missed, or there are none: until it rises on the list again.
+        return max(0.0, _next_limit(progress, waited, run_s, 0) - waited - run_s)
 
     @property
     def silent_s(self) -> float:
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -49,6 +49,8 @@
 SCARCITY_COST_S = 30.0
 BACKGROUND_CHANCE = 0.5
 AVOIDED_COST_S = 60.0
+GIVE_BACK_S = 3.0  # work of the lowest rank makes way for what would wait longer
+RESTART_S = 5.0  # to save, stop and begin again elsewhere
 PLANNED = Attempt(0)  # stands for attempts that this very plan starts
 
 GroupKey = tuple[TypeName, Zone, bool]
@@ -84,6 +86,8 @@
         self.failed: dict[tuple[GroupKey, ...], list[Room]] = {}
         self.slots: dict[tuple[tuple[GroupKey, ...], Room], list[float]] = {}
         self.slots_taken: dict[TypeName, int] = {}  # by tasks that wait for such room
+        self.promised: dict[TypeName, float] = {}  # the same in CPUs
+        self.own_promise: dict[TypeName, float] = {}  # to the entry that was placed last
         self._borrowed: set[AttemptId] | None = None
         self._lowest: Rank | None = None
         for host in snapshot.hosts:
@@ -211,13 +215,8 @@
     def _hold_room(self, entry: Entry) -> None:
         """Reserve for the head, and clear room for it where the rules of preemption allow."""
         head = len(self.reserved) < self.policy.reservations and not entry.service
-        clears = (
-            self.preempting_left > 0
-            and self.stops_left > 0
-            and entry.patience_s < NO_AIM_S
-            and self._could_preempt(entry)
-        )
-        if not head and not clears:
+        late, below = self._late(entry)
+        if not head and not late:
             return
         shadow, host = self._shadow(entry)
         if head and host is not None:
@@ -226,12 +225,28 @@
             self.reserved[host.id] = hold
             # The background on that machine makes way as soon as that is all it takes.
             self._evict_background(entry, host)
-        if clears:
+        if late:
             self.preempting_left -= 1
-            wanted = min(entry.team_slots, len(entry.waiting))
-            late = wanted - self._in_time(entry, wanted)
+            self._preempt(entry, shadow - self.now, late, below)
+
+    def _late(self, entry: Entry) -> tuple[int, Rank]:
+        """For how many of its tasks room must be cleared, and below which rank.
+
+        Work of the lowest rank takes what is left, and gives it back as soon as others
+        would wait for it; other work makes way for what would miss an aim.
+        """
+        none = (0, entry.rank)
+        if self.preempting_left <= 0 or self.stops_left <= 0 or not self._could_preempt(entry):
+            return none
+        wanted = min(entry.team_slots, len(entry.waiting))
+        if entry.patience_s < NO_AIM_S:
+            late = wanted - self._in_time(entry, wanted, entry.patience_s)
             if late > 0:
-                self._preempt(entry, shadow - self.now, late)
+                return late, entry.rank
+        if entry.rank > self.lowest_rank == Rank.LOW:
+            late = wanted - self._in_time(entry, wanted, min(entry.patience_s, GIVE_BACK_S))
+            return max(0, late), Rank(Rank.LOW + 1)
+        return none
 
     def _start_background(self, entry: Entry) -> None:
         if self.policy.backfill:
@@ -364,10 +379,13 @@
     def _take_slots(self, entry: Entry) -> None:
         """What waits will take the room that frees up first, the least scarce before."""
         left = max(0, min(len(entry.waiting), entry.team_slots))
+        self.own_promise = {}
         for kind, groups in sorted(self._types_for(entry), key=lambda t: t[1][0].scarcity):
             copies = groups[0].sample.total.copies(entry.need)
             taken = min(left, copies * sum(len(group.hosts) for group in groups))
             self.slots_taken[kind] = self.slots_taken.get(kind, 0) + taken
+            self.own_promise[kind] = taken * entry.need.cpus
+            self.promised[kind] = self.promised.get(kind, 0.0) + taken * entry.need.cpus
             left -= taken
 
     def _types_for(self, entry: Entry) -> list[tuple[TypeName, list[_Group]]]:
@@ -523,10 +541,14 @@
 
     def _could_preempt(self, entry: Entry) -> bool:
         """Is there any work that may be stopped for it?"""
+        return entry.rank > self.lowest_rank or (entry.guaranteed and bool(self.borrowed))
+
+    @property
+    def lowest_rank(self) -> Rank:
         if self._lowest is None:
             ranks = (host.lowest for host in self._all_hosts())
             self._lowest = min(ranks, default=Rank.PRODUCTION)
-        return entry.rank > self._lowest or (entry.guaranteed and bool(self.borrowed))
+        return self._lowest
 
     @property
     def borrowed(self) -> set[AttemptId]:
@@ -534,36 +556,36 @@
             self._borrowed = self.snapshot.borrowed()
         return self._borrowed
 
-    def _may_preempt(self, entry: Entry, run: RunState) -> bool:
+    def _may_preempt(self, entry: Entry, run: RunState, below: Rank) -> bool:
         """Lower priority, or borrowed room that a team needs for its guarantee."""
         if run.stopping or run.gang or run.id.attempt == PLANNED:
             return False
-        if run.rank < entry.rank:
+        if run.rank < below:
             return True
-        return entry.guaranteed and run.team != entry.team and run.id in self.borrowed
+        return (
+            below == entry.rank
+            and entry.guaranteed
+            and run.team != entry.team
+            and run.id in self.borrowed
+        )
 
-    def _in_time(self, entry: Entry, wanted: int) -> int:
-        """How many of its tasks find room before they miss their aim, with nothing stopped."""
-        count = 0
-        limit = self.now + entry.patience_s
-        for group in self._groups_for(entry):
-            for host in group.hosts.values():
-                if host.ready_at > limit or not self._suits(entry, host):
-                    continue
-                room = self._unclaimed(host)
-                if host.first_end <= limit or host.background:
-                    for run in host.runs:
-                        if run.ends_at <= limit:
-                            room = room.plus(run.need)
-                hold = self.reserved.get(host.id)
-                if hold is not None and hold.job != entry.job:
-                    room = room.minus(hold.need)
-                count += room.copies(entry.need)
-                if count >= wanted:
-                    return count
-        return count
-
-    def _preempt(self, entry: Entry, shadow_s: float, late: int) -> None:
+    def _in_time(self, entry: Entry, wanted: int, within_s: float) -> int:
+        """How many of its tasks find room in time, with nothing stopped.
+
+        What frees up is promised to tasks earlier on the list first: counted on by every
+        job, the same room would let all of them wait, and stop nothing for any.
+        """
+        # By CPUs alone, which jobs of a class share: this is looked up for each kind of need.
+        need = entry.need._replace(memory_gb=0.0)
+        limit = self.now + within_s
+        count = 0.0
+        for kind, groups in self._types_for(entry):
+            slots = bisect_left(self._slots(need, groups), limit)
+            before = self.promised.get(kind, 0.0) - self.own_promise.get(kind, 0.0)
+            count += max(0.0, slots - before / max(need.cpus, 0.01))
+        return min(wanted, int(count))
+
+    def _preempt(self, entry: Entry, shadow_s: float, late: int, below: Rank) -> None:
         """Clear room for so many tasks, where the least work is lost.
 
         Work is stopped only where less of it is lost than the stop spares in waiting.
@@ -575,11 +597,11 @@
             for host in group.hosts.values():
                 if host.ready_at > self.now or not self._suits(entry, host):
                     continue
-                if host.lowest >= entry.rank and not entry.guaranteed:
+                if host.lowest >= below and not (below == entry.rank and entry.guaranteed):
                     continue  # nothing there may be stopped for it
                 if host.free.holds(entry.need):
                     continue  # it is held for the head, which goes first
-                choice = self._victims(entry, host)
+                choice = self._victims(entry, host, below)
                 if choice is not None and choice[0] <= worth:
                     options.append((choice[0], host.id, host, choice[1]))
         options.sort(key=lambda option: option[:2])
@@ -590,9 +612,11 @@
             for run in victims:
                 self._stop(host, run, f"room for {entry.job}")
 
-    def _victims(self, entry: Entry, host: HostState) -> tuple[float, list[RunState]] | None:
+    def _victims(
+        self, entry: Entry, host: HostState, below: Rank
+    ) -> tuple[float, list[RunState]] | None:
         """The work lost, and whose, if this machine made room; None if it can't."""
-        candidates = [run for run in host.runs if self._may_preempt(entry, run)]
+        candidates = [run for run in host.runs if self._may_preempt(entry, run, below)]
         free = self._unclaimed(host)
         for run in host.runs:
             if run.stopping:
@@ -604,7 +628,8 @@
                 break
             free = free.plus(run.need)
             victims.append(run)
-            loss += 1.0 if run.saves else (self.now - run.began_at) * run.need.cpus
+            lost_s = RESTART_S if run.saves else self.now - run.began_at + RESTART_S
+            loss += lost_s * run.need.cpus
         return (loss, victims) if free.holds(entry.need) else None
 
     def _stop(self, host: HostState, run: RunState, reason: str) -> None:
