--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -104,6 +104,7 @@
     known: bool = False  # has reported under our token, in its present session
     fenced: bool = False  # everything on it is proved gone
     up: bool = False
+    boot_noted: bool = False  # that it came up in time, or did not
     draining: str | None = None
     deleting: bool = False
     notice_at: MonotonicTime | None = None
--- a/dunehold/coordination/autoscaler.py
+++ b/dunehold/coordination/autoscaler.py
@@ -9,6 +9,7 @@
 from dunehold.protocol.cloud import MAX_RENT, MachineType
 from dunehold.types import HostId, Room, TypeName, Zone
 
+DOUBT = 3.0  # times as dear: a kind whose machines come up late, or never
 FREED_SHARE = 0.3  # of a boot time: room that frees up later is wanted by later arrivals
 
 
@@ -58,6 +59,7 @@
     hosts: list[FleetHost],
     demands: list[Demand],
     refused: set[Offer],
+    doubtful: set[Offer],
     kept_cpus: float,
     idle_return_s: float,
 ) -> Decision:
@@ -83,7 +85,7 @@
             if left > 0 and demand.allowed(offer):
                 left = _use(places, demand.need, left, least)
         if left > 0:
-            _rent(types, demand, left, refused, per_zone, asked, room)
+            _rent(types, demand, left, refused, doubtful, per_zone, asked, room)
     for offer, number in asked.items():
         full, rest = divmod(number, MAX_RENT)
         decision.rent.extend(Rent(offer, MAX_RENT) for _ in range(full))
@@ -116,6 +118,7 @@
     demand: Demand,
     left: int,
     refused: set[Offer],
+    doubtful: set[Offer],
     per_zone: dict[Zone, int],
     asked: dict[Offer, int],
     room: dict[Offer, dict[HostId, Room]],
@@ -133,13 +136,20 @@
                     continue
                 price = kind.spot_price if spot else kind.price
                 cost = price * math.ceil(left / copies)
+                if offer in doubtful:
+                    cost *= DOUBT  # it is paid for while it does not come up
                 options.append((cost, per_zone.get(zone, 0), offer, kind))
     if not options:
         return
     _, _, offer, kind = min(options, key=lambda option: option[:2])
     copies = kind.room.copies(demand.need)
     number = math.ceil(left / copies)
-    twins = [o for o in options if o[2].type == offer.type and o[2].spot == offer.spot]
+    twins = [
+        o
+        for o in options
+        if (o[2].type, o[2].spot, o[2] in doubtful)
+        == (offer.type, offer.spot, offer in doubtful)
+    ]
     share = math.ceil(number / len(twins)) if number > 1 else number
     for _, _, twin, _ in sorted(twins, key=lambda option: option[1]):
         take = min(share, number)
--- a/dunehold/coordination/fleet.py
+++ b/dunehold/coordination/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -37,6 +38,9 @@
 LIST_SHARE = 0.2  # of the cloud's calls
 QUARANTINE_S = 15.0  # before a machine on which tasks fail is returned
 SURE_LAGS = 3.0  # a list may be twice its lag old; clocks and calls take some more
+LATE_BOOTS = 2.0  # boot times of its type: most machines are up after 0.6 to 1.5
+BOOT_MEMORY_S = 120.0
+DOUBTFUL_SHARE, ENOUGH_BOOTS = 0.4, 3  # late ones among the latest boots of a kind
 TROUBLE = (CloudTrouble, NoResponse, BadMessage)
 
 
@@ -56,6 +60,8 @@
     on_removed: Callable[[HostId], None]
     on_change: Callable[[], None]
     refused: dict[Offer, MonotonicTime] = field(default_factory=dict)
+    boots: dict[Offer, deque[tuple[MonotonicTime, bool]]] = field(default_factory=dict)
+    late: set[HostId] = field(default_factory=set)  # that should be up by now
     listed: dict[HostId, Listed] = field(default_factory=dict)
     _renting: bool = False
     _rentals: int = 0
@@ -128,9 +134,49 @@
     def _gone(self, host: HostId) -> None:
         self.on_lost(self.ledger.delete_completed(host))
         self.on_removed(host)
+        self.late.discard(host)
         self.listed.pop(host, None)
         self.recorder.host(host)
 
+    # -- booting -------------------------------------------------------------------------
+
+    def note_boots(self, now: MonotonicTime) -> None:
+        """Machines that are late are not counted on any more, and how boots of a kind went
+        lately decides where the next are asked for. One that comes up after all is used."""
+        for host in self.ledger.hosts.values():
+            kind = self.types.get(host.type)
+            if host.up or host.fed_at is not None:
+                if host.id in self.late:
+                    self.late.discard(host.id)
+                    log.info("host %s is up after all", host.id)
+                elif host.up and not host.boot_noted:
+                    self._note_boot(host, now, late=False)
+                host.boot_noted = True
+            elif (
+                kind is not None
+                and not host.deleting
+                and host.id not in self.late
+                and host.created_at != self.ledger.took_over_at
+                and now - host.created_at > LATE_BOOTS * kind.boot_s
+            ):
+                self.late.add(host.id)
+                self._note_boot(host, now, late=True)
+                host.boot_noted = True
+                log.info("host %s is late: not counted on", host.id)
+
+    def _note_boot(self, host: Host, now: MonotonicTime, late: bool) -> None:
+        offer = Offer(host.type, host.zone, host.spot)
+        self.boots.setdefault(offer, deque(maxlen=50)).append((now, late))
+
+    def doubtful(self, now: MonotonicTime) -> set[Offer]:
+        """Kinds of which many came up late, or never, lately."""
+        found = set()
+        for offer, noted in self.boots.items():
+            lately = [late for at, late in noted if now - at < BOOT_MEMORY_S]
+            if len(lately) >= ENOUGH_BOOTS and sum(lately) > DOUBTFUL_SHARE * len(lately):
+                found.add(offer)
+        return found
+
     # -- renting -------------------------------------------------------------------------
 
     def scale(self, jobs: dict[JobId, JobProgress], now: MonotonicTime) -> None:
@@ -147,9 +193,10 @@
             }
         decision = autoscaler.decide(
             self.types,
-            self.picture.fleet(now),
+            [host for host in self.picture.fleet(now) if host.id not in self.late],
             demands,
             refused,
+            self.doubtful(now),
             self.picture.kept_cpus(demands, now),
             self.settings.operator.idle_return_s,
         )
@@ -254,8 +301,11 @@
             self.ledger.add_host(
                 item.host, item.type, item.zone, item.spot, item.address, self.now()
             )
+        if not self.may_start():
+            return
+        lost: list[HostId] = []
         sure = SURE_LAGS * self.settings.list_lag_s
-        for host in list(self.ledger.hosts.values()):
+        for host in self.ledger.hosts.values():
             if (
                 host.id not in self.listed
                 and not host.known
@@ -263,11 +313,15 @@
                 and host.fed_at is None
                 and asked > host.created_at + sure
             ):
-                # Once listed, a machine stays listed until it is gone, and a list is never
-                # older than twice its lag: this one is not booting, nor silent, but gone.
-                log.info("host %s is gone: it is not listed any more", host.id)
-                self._gone(host.id)
-                self.on_change()
+                # Once listed, a machine stays listed until it is gone, and a list should
+                # not be older than twice its lag. But some are: only the answer to a delete
+                # proves that nothing is left of a machine, and a name that is unknown to the
+                # cloud is as good.
+                log.info("host %s is not listed any more", host.id)
+                host.deleting = True
+                lost.append(host.id)
+        for first in range(0, len(lost), MAX_DELETE):
+            self.spawn(self._delete(lost[first : first + MAX_DELETE]))
 
 
 def _offer(rental: Rental) -> Offer:
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -495,6 +495,7 @@
             self._lost(self.ledger.expire(min(now, self.proved_at())))
             self._check_known()
             self.fleet.look_after(now, self.attentive_since)
+            self.fleet.note_boots(now)
             for host in self.ledger.hosts.values():
                 if host.known and self.ledger.has_direct(host):
                     self.delivery.talk(host.id)
--- a/dunehold/coordination/recorder.py
+++ b/dunehold/coordination/recorder.py
@@ -23,6 +23,9 @@
 
 RETRY_S = 0.3
 MARK_DELAY_S = 20.0
+# Sooner where many tasks end: until its mark is durable, the worker reports each of them,
+# and reports must stay short. One write holds thousands of marks.
+MANY_MARKS, SOON_MARKS_S = 200, 3.0
 MAX_PAGE_HOSTS = 500
 
 
@@ -30,6 +33,14 @@
     """The leader key is not this leader's any more."""
 
 
+@dataclass(slots=True)
+class _Unmarked:
+    """Tasks of a job that ended and are not on record yet."""
+
+    due: float
+    tasks: int = 0
+
+
 @dataclass(slots=True)
 class Recorder:
     """Brings the durable records in line with what the leader knows.
@@ -48,7 +59,7 @@
     on_logged: Callable[[set[HostId]], None]
     flush_gap_s: float
     dirty_jobs: dict[JobId, None] = field(default_factory=dict)
-    unmarked: dict[JobId, float] = field(default_factory=dict)  # when their marks are due
+    unmarked: dict[JobId, _Unmarked] = field(default_factory=dict)
     dirty_hosts: set[HostId] = field(default_factory=set)
     new_rentals: dict[RentalId, Rental] = field(default_factory=dict)
     ended_rentals: set[RentalId] = field(default_factory=set)
@@ -69,17 +80,21 @@
             self.unmarked.pop(job, None)
             self.dirty_jobs[job] = None
             self._wake.set()
-        elif job not in self.dirty_jobs and job not in self.unmarked:
-            loop = asyncio.get_running_loop()
-            self.unmarked[job] = loop.time() + MARK_DELAY_S
+        elif job not in self.dirty_jobs:
+            now = asyncio.get_running_loop().time()
+            entry = self.unmarked.get(job)
+            if entry is None:
+                entry = self.unmarked[job] = _Unmarked(now + MARK_DELAY_S)
+            entry.tasks += 1
+            if entry.tasks == MANY_MARKS:
+                entry.due = min(entry.due, now + SOON_MARKS_S)
 
     def _take_due(self) -> None:
         now = asyncio.get_running_loop().time()
-        for job, due in list(self.unmarked.items()):
-            if due > now:
-                return  # they are in the order in which they came
-            del self.unmarked[job]
-            self.dirty_jobs[job] = None
+        for job, entry in list(self.unmarked.items()):
+            if entry.due <= now:
+                del self.unmarked[job]
+                self.dirty_jobs[job] = None
 
     def host(self, host: HostId) -> None:
         self.dirty_hosts.add(host)
--- /dev/null
+++ b/tests/test_autoscaler.py
@@ -0,0 +1,122 @@
+"""Which machines to rent: cheapest first, but not where boots fail, nor beyond a refusal."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from types import SimpleNamespace
+from typing import Any
+
+from dunehold.coordination.autoscaler import Demand, FleetHost, Offer, decide
+from dunehold.coordination.fleet import Fleet
+from dunehold.protocol.cloud import MachineType, NoCapacity, Rental
+from dunehold.types import Duration, HostId, MonotonicTime, RentalId, Room, TypeName, Zone
+from tests.virtual import VirtualLoop
+
+ZONES = (Zone("a"), Zone("b"))
+
+
+def kind(name: str, cpus: float, price: float) -> MachineType:
+    room = Room(cpus, 0.0, cpus * 4)
+    return MachineType(TypeName(name), room, 10.0, 1.0, price, price / 3, Duration(20.0), ZONES)
+
+
+TYPES = {t.name: t for t in (kind("small", 4.0, 0.2), kind("big", 32.0, 1.7))}
+
+
+def rented(doubtful: set[Offer], tasks: int = 40) -> dict[Offer, int]:
+    demand = Demand(Room(2.0, 0.0, 1.0), tasks, 30.0, lambda _: True)
+    made = decide(TYPES, [], [demand], set(), doubtful, 0.0, 20.0)
+    found: dict[Offer, int] = {}
+    for rent in made.rent:
+        found[rent.offer] = found.get(rent.offer, 0) + rent.number
+    return found
+
+
+def test_the_cheapest_are_rented_in_all_zones() -> None:
+    assert rented(set()) == {Offer(TypeName("small"), zone, True): 10 for zone in ZONES}
+
+
+def test_a_kind_whose_machines_do_not_come_up_is_asked_for_last() -> None:
+    here, there = (Offer(TypeName("small"), zone, True) for zone in ZONES)
+    assert rented({here}) == {there: 20}
+    big = {Offer(TypeName("big"), zone, True) for zone in ZONES}
+    assert set(rented({here, there})) <= big
+
+
+def test_room_on_machines_that_are_counted_on_needs_no_others() -> None:
+    offer = Offer(TypeName("small"), ZONES[0], True)
+    room = TYPES[offer.type].room
+    hosts = [FleetHost(HostId(f"m{n}"), offer, room, room, [], None) for n in range(20)]
+    demand = Demand(Room(2.0, 0.0, 1.0), 40, 30.0, lambda _: True)
+    assert not decide(TYPES, hosts, [demand], set(), set(), 0.0, 20.0).rent
+    assert decide(TYPES, hosts[:10], [demand], set(), set(), 0.0, 20.0).rent
+
+
+def fleet(**more: Any) -> Fleet:
+    plain: dict[str, Any] = dict.fromkeys(Fleet.__match_args__)
+    ready = {name: plain[name] for name in plain if not name.startswith("_")}
+    for name in ("refused", "listed", "boots"):
+        ready[name] = {}
+    ready |= {"types": TYPES, "late": set(), **more}
+    return Fleet(**ready)
+
+
+def host(name: str, at: float, up: bool) -> SimpleNamespace:
+    return SimpleNamespace(
+        id=HostId(name), type=TypeName("small"), zone=ZONES[0], spot=True, up=up,
+        fed_at=None, created_at=at, deleting=False, boot_noted=False,
+    )  # fmt: skip
+
+
+def test_machines_that_should_be_up_are_not_counted_on() -> None:
+    """Work waited for them until their patience of four boot times was over."""
+    hosts = {f"m{n}": host(f"m{n}", 10.0, up=n < 3) for n in range(8)}
+    care = fleet(ledger=SimpleNamespace(hosts=hosts, took_over_at=0.0))
+    care.note_boots(MonotonicTime(30.0))
+    assert not care.late
+    care.note_boots(MonotonicTime(52.0))
+    assert care.late == {f"m{n}" for n in range(3, 8)}
+    assert care.doubtful(MonotonicTime(53.0)) == {Offer(TypeName("small"), ZONES[0], True)}
+    assert not care.doubtful(MonotonicTime(400.0))  # tried again some time later
+    hosts["m7"].up = True
+    care.note_boots(MonotonicTime(54.0))
+    assert HostId("m7") not in care.late  # late, but it is there: used or returned
+
+
+def test_once_the_cloud_has_no_more_no_further_call_is_made() -> None:
+    """A third of the few calls at the start asked for kinds that had just run out."""
+    calls: deque[str] = deque()
+    ended: list[str] = []
+
+    class Cloud:
+        async def rent(self, rental: Rental) -> list[HostId]:
+            calls.append(rental.id)
+            await asyncio.sleep(0.1)
+            if rental.type == "small":
+                raise NoCapacity
+            return [HostId(f"{rental.id}-{n}") for n in range(rental.number)]
+
+    class Recorder:
+        async def record_rentals(self, rentals: list[Rental]) -> None: ...
+        def end_rental(self, rental: RentalId) -> None:
+            ended.append(rental)
+
+    async def rent() -> None:
+        ledger = SimpleNamespace(hosts={}, gone=set(), add_host=lambda *_: None)
+        care = fleet(
+            cloud=Cloud(), recorder=Recorder(), ledger=ledger, token=7,
+            on_change=lambda: None, spawn=lambda work: work.close(),
+        )  # fmt: skip
+        demand = Demand(Room(2.0, 0.0, 1.0), 250, 30.0, lambda o: o.type == "small")
+        large = Demand(Room(32.0, 0.0, 1.0), 60, 30.0, lambda _: True)
+        decision = decide(TYPES, [], [demand, large], set(), set(), 0.0, 20.0)
+        assert len(decision.rent) == 6
+        await care._rent_all(decision.rent)
+
+    loop = VirtualLoop()
+    loop.run_until_complete(rent())
+    loop.close()
+    # Two zones: one refusal each; and what brings most CPUs is asked for first.
+    assert len(calls) == 4
+    assert len(ended) == 2
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -220,6 +220,48 @@
     assert len(decide([machine], [urgent]).stops) == stops
 
 
+def low(job: str, need: float, ends: float, saves: bool = True) -> RunState:
+    return replace(run(job, need, ends, ran=5.0), rank=Rank.LOW, saves=saves)
+
+
+def test_idle_work_makes_way_at_once_for_a_task_of_many_times_its_size() -> None:
+    """Eight stops a plan were not enough for one large task, and so it waited for ever."""
+    machine = host("h", 32.0, *(low(f"g{n}", 2.0, 300.0) for n in range(16)))
+    made = decide([machine], [entry("member", 32.0, 60.0, 1, patience_s=500.0)])
+    assert len(made.stops) == 16 and all(stop.save for stop in made.stops)
+    # What ends by itself in a moment is not stopped, nor is work of the same rank.
+    machine = host("h", 32.0, *(low(f"g{n}", 2.0, 1.0) for n in range(16)))
+    assert not decide([machine], [entry("member", 32.0, 60.0, 1, patience_s=500.0)]).stops
+    machine = host("h", 32.0, *(run(f"m{n}", 2.0, 300.0) for n in range(16)))
+    assert not decide([machine], [entry("member", 32.0, 60.0, 1, patience_s=500.0)]).stops
+
+
+def test_room_that_frees_up_is_promised_once_before_others_make_way() -> None:
+    """Every waiting job counted on the same room, so that none seemed to be late."""
+    hosts = [
+        host("soon", 4.0, run("r", 4.0, 2.0)),
+        host("guest", 4.0, low("g", 4.0, 300.0)),
+    ]
+    jobs = [entry("first", 4.0, 60.0, 1, patience_s=50.0)]
+    assert not decide(hosts, jobs).stops
+    jobs = [entry(name, 4.0, 60.0, n, patience_s=50.0) for n, name in enumerate("ab")]
+    assert [stop.host for stop in decide(hosts, jobs).stops] == ["guest"]
+
+
+def test_no_room_is_held_or_cleared_for_a_job_that_fails_everywhere() -> None:
+    machine = host("h", 4.0, low("g", 4.0, 300.0))
+    made = decide([machine], [entry("bad", 4.0, 60.0, 1, broken=True, patience_s=1.0)])
+    assert not made.stops and not made.reservations and not made.starts
+
+
+def test_a_failed_task_is_tried_on_another_machine() -> None:
+    hosts = [host("h1", 4.0), host("h2", 8.0)]
+    job = entry("j", 2.0, 60.0, 1, avoided=frozenset({HostId("h1")}))
+    assert decide(hosts, [job]).starts[0].host == "h2"
+    job = entry("j", 2.0, 60.0, 1, avoided=frozenset({HostId("h1"), HostId("h2")}))
+    assert decide(hosts, [job]).starts
+
+
 def test_equal_rank_is_never_preempted() -> None:
     machine = host("h", 4.0, run("same", 4, 200))
     assert not decide([machine], [entry("next", 4, 9, 1, patience_s=0.0)]).stops
