--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -167,7 +167,7 @@
     gone: set[HostId] = field(default_factory=set)
     # Machines on record on which an earlier leader's tasks may still be. Each leaves once,
     # when it answers, is fenced or deleted, so no start has to look through the fleet.
-    _unknown: set[HostId] = field(default_factory=set)
+    _unknown: dict[HostId, None] = field(default_factory=dict)
     _unknown_room: Room = NO_ROOM
     relayed: dict[Zone, MonotonicTime] = field(default_factory=dict)  # fed till then at most
     _relay_changes: dict[Zone, int] = field(default_factory=dict)
@@ -191,7 +191,7 @@
                 self.took_over_at,
             )
             host.recorded = True
-            self._unknown.add(record.id)
+            self._unknown[record.id] = None
             self._unknown_room = self._unknown_room.plus(host.room)
         for placed in self.view.starts.values():
             for name, tasks in placed.items():
@@ -228,9 +228,9 @@
     def _settled(self, host: Host) -> None:
         """Nothing of an earlier leader can be on it unseen any more."""
         if host.id in self._unknown:
-            self._unknown.discard(host.id)
+            del self._unknown[host.id]
             for placed in self.view.starts.values():
-                for task in placed.get(host.id, ()):
+                for task in sorted(placed.get(host.id, ())):
                     places = self._maybe.get(task)
                     if places is not None:
                         places.discard(host.id)
--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -173,7 +173,7 @@
     value: dict[str, dict[str, list[int]]] = {}
     for host, tasks in placed.items():
         jobs = value.setdefault(host, {})
-        for task in tasks:
+        for task in sorted(tasks):
             jobs.setdefault(task.job, []).append(task.number)
     return value
 
--- a/dunehold/coordination/fleet.py
+++ b/dunehold/coordination/fleet.py
@@ -36,6 +36,7 @@
 RETRY_S = 2.0
 LIST_GAP_S = 5.0
 LIST_SHARE = 0.2  # of the cloud's calls
+NOTICE_MARGIN_S = 1.0
 QUARANTINE_S = 15.0  # before a machine on which tasks fail is returned
 SURE_LAGS = 3.0  # a list may be twice its lag old; clocks and calls take some more
 LATE_BOOTS = 2.0  # boot times of its type: most machines are up after 0.6 to 1.5
@@ -103,6 +104,12 @@
         listed = self.listed.get(host.id)
         if listed is not None and listed.phase is HostPhase.FAILED:
             return "it failed"
+        if host.notice_at is not None:
+            # The answer to a delete proves at once that nothing is left on it.
+            if now > host.notice_at + NOTICE_MARGIN_S:
+                return "its notice is over"
+            busy = any(run.occupies for run in host.runs.values())
+            return None if busy or not host.known else "it is taken back"
         heard = host.fed_at
         if not host.up and heard is None and host.created_at != self.ledger.took_over_at:
             kind = self.types.get(host.type)
@@ -112,7 +119,7 @@
         silent_since = max(heard if heard is not None else host.created_at, attentive_since)
         if (host.up or host.fenced) and now - silent_since > operator.silent_return_s:
             return "it is silent"
-        if host.draining is None or not host.known or host.notice_at is not None:
+        if host.draining is None or not host.known:
             return None
         if host.quarantined_at is not None and now - host.quarantined_at < QUARANTINE_S:
             return None  # what failed there may yet turn out to fail everywhere
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -6,7 +6,7 @@
 import logging
 import math
 from bisect import insort
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -226,6 +226,8 @@
         commands: list[Command] = []
         if outcome.accepted:
             self._digest(host, outcome)
+            if host.notice_at is not None:
+                self._evacuate(host, host.notice_at, now)
             if outcome.changed:
                 self.schedule()
             commands = self.ledger.commands(host, direct=False, starts=self.may_start())
@@ -257,6 +259,25 @@
         for task in self.ledger.take_released():
             self._requeue(task)
 
+    def _evacuate(self, host: Host, taken_at: MonotonicTime, now: MonotonicTime) -> None:
+        """Before the cloud takes the machine, stop what can't end by then, to begin it anew
+        elsewhere at once: later it would have to be proved gone first, a lease later."""
+        for run in list(host.runs.values()):
+            record = self.view.active.get(run.id.task.job)
+            if not run.occupies or run.stop_grace is not None or record is None:
+                continue
+            spec = record.spec
+            if spec is None:
+                continue
+            ran = 0.0 if run.running_at is None else now - run.running_at
+            if now + self.estimates.left_s(spec, ran) <= taken_at and not run.service:
+                continue
+            saves = spec.checkpoint_s > 0 and now + spec.save_s < taken_at
+            log.info("stop %s on %s: the machine is taken back", run.id, host.id)
+            self.ledger.stop(run, spec.save_s if saves else Duration(0.0))
+            if run.id not in host.runs:
+                self._requeue(run.id.task)
+
     def _check_known(self) -> None:
         if not self._reported_known and self.ledger.all_known():
             self._reported_known = True
@@ -294,7 +315,7 @@
 
     def _rejudge(self, hosts: set[HostId]) -> None:
         """Bring suspicion and quarantine in line with what failures say now."""
-        for host_id in hosts:
+        for host_id in sorted(hosts):
             host = self.ledger.hosts.get(host_id)
             if host is None:
                 continue
@@ -394,7 +415,7 @@
         )
 
     def _carry_out(self, decided: Plan, now: MonotonicTime) -> None:
-        touched: set[HostId] = set()
+        touched: dict[HostId, None] = {}
         for stop in decided.stops:
             host = self.ledger.hosts.get(stop.host)
             run = host.runs.get(stop.attempt) if host is not None else None
@@ -407,7 +428,7 @@
             self.ledger.stop(run, Duration(grace))
             if run.id not in host.runs:
                 self._requeue(run.id.task)
-            touched.add(host.id)
+            touched[host.id] = None
         for attempt in decided.lifts:
             for run in self.ledger.present.get(attempt.task, ()):
                 if run.id == attempt:
@@ -439,7 +460,7 @@
         for host_id in touched:
             self.delivery.talk(host_id)
 
-    def starts_logged(self, hosts: set[HostId]) -> None:
+    def starts_logged(self, hosts: Iterable[HostId]) -> None:
         for host_id in hosts:
             self.delivery.talk(host_id)
 
--- a/dunehold/coordination/recorder.py
+++ b/dunehold/coordination/recorder.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping import records
@@ -56,13 +56,13 @@
     ledger: Ledger
     leader_version: Revision
     on_written: Callable[[], None]
-    on_logged: Callable[[set[HostId]], None]
+    on_logged: Callable[[Iterable[HostId]], None]
     flush_gap_s: float
     dirty_jobs: dict[JobId, None] = field(default_factory=dict)
     unmarked: dict[JobId, _Unmarked] = field(default_factory=dict)
-    dirty_hosts: set[HostId] = field(default_factory=set)
+    dirty_hosts: dict[HostId, None] = field(default_factory=dict)
     new_rentals: dict[RentalId, Rental] = field(default_factory=dict)
-    ended_rentals: set[RentalId] = field(default_factory=set)
+    ended_rentals: dict[RentalId, None] = field(default_factory=dict)
     starts: dict[AttemptId, Run] = field(default_factory=dict)
     new_broken: set[JobId] | None = None  # to be written
     _in_doubt: set[str] = field(default_factory=set)  # keys with a write that may come late
@@ -97,7 +97,7 @@
                 self.dirty_jobs[job] = None
 
     def host(self, host: HostId) -> None:
-        self.dirty_hosts.add(host)
+        self.dirty_hosts[host] = None
         self._wake.set()
 
     def log_start(self, run: Run) -> None:
@@ -112,7 +112,7 @@
         self._wake.set()
 
     def end_rental(self, rental: RentalId) -> None:
-        self.ended_rentals.add(rental)
+        self.ended_rentals[rental] = None
         self._wake.set()
 
     async def record_rentals(self, rentals: list[Rental]) -> None:
@@ -204,13 +204,14 @@
                 return
         for rental in rentals:
             self.new_rentals.pop(rental.id, None)
-        self.ended_rentals.difference_update(ended)
+        for name in ended:
+            self.ended_rentals.pop(name, None)
         if records.BROKEN in txn.puts and self.new_broken is broken:
             self.new_broken = None
         for host_id in hosts:
             # What changed while this was under way is still to be written.
             if self._wanted_host(host_id) == self.view.hosts.get(host_id):
-                self.dirty_hosts.discard(host_id)
+                self.dirty_hosts.pop(host_id, None)
         for job in jobs:
             self.dirty_jobs.pop(job, None)
             if job in self.view.active and self._job_differs(job):
@@ -264,12 +265,12 @@
     def _logged(self, runs: list[Run]) -> None:
         if not runs:
             return
-        hosts = set()
+        hosts: dict[HostId, None] = {}
         for run in runs:
             self.starts.pop(run.id, None)
             if self._planned(run):
                 run.logged = True
-                hosts.add(run.host)
+                hosts[run.host] = None
         self.on_logged(hosts)
 
     # -- machines --------------------------------------------------------------------
@@ -288,7 +289,7 @@
         capacity = min(capacity, MAX_PAGE_HOSTS)
         pages = {page: dict(rows) for page, rows in self.view.host_pages.items()}
         where = {host: page for page, rows in pages.items() for host in rows}
-        touched: set[int] = set()
+        touched: dict[int, None] = {}
         taken: list[HostId] = []
         for host_id in self.dirty_hosts:
             wanted = self._wanted_host(host_id)
@@ -314,7 +315,7 @@
             else:
                 rows[host_id] = wanted
                 included.add(host_id)
-            touched.add(page)
+            touched[page] = None
             taken.append(host_id)
         for page in touched:
             key = f"{records.HOSTS}{page}"
--- a/dunehold/protocol/state.py
+++ b/dunehold/protocol/state.py
@@ -63,7 +63,7 @@
             if key == self.leased_key:
                 row["grant"] = self.lease
             writes.append(row)
-        writes.extend({"drop": key} for key in self.deletes)
+        writes.extend({"drop": key} for key in sorted(self.deletes))
         guards = [{"path": key, "stamp": stamp} for key, stamp in self.guards.items()]
         return codec.dump({"guards": guards, "writes": writes})
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -236,7 +236,7 @@
     name = next(n.name for n in world.nodes if n.node is not None and n.node.leader)
     cut: set[str] = set()
     for _ in range(40):
-        for worker in set(world.cloud.workers) - cut:
+        for worker in sorted(set(world.cloud.workers) - cut):
             cut.add(worker)
             for source in (name, *(f"{name}#{life}" for life in range(3))):
                 world.spawn(world.network.for_a_while(worker, source, "hold", 60.0))
