--- a/dunehold/coordination/recorder.py
+++ b/dunehold/coordination/recorder.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping import records
@@ -23,6 +23,9 @@
 
 RETRY_S = 0.3
 MARK_DELAY_S = 20.0
+# Sooner where many tasks end: until its mark is durable, the worker reports each of them,
+# and reports must stay short. One write holds thousands of marks.
+MANY_MARKS, SOON_MARKS_S = 200, 3.0
 MAX_PAGE_HOSTS = 500
 
 
@@ -30,6 +33,14 @@
     """The leader key is not this leader's any more."""
 
 
+@dataclass(slots=True)
+class _Unmarked:
+    """Tasks of a job that ended and are not on record yet."""
+
+    due: float
+    tasks: int = 0
+
+
 @dataclass(slots=True)
 class Recorder:
     """Brings the durable records in line with what the leader knows.
@@ -45,13 +56,13 @@
     ledger: Ledger
     leader_version: Revision
     on_written: Callable[[], None]
-    on_logged: Callable[[set[HostId]], None]
+    on_logged: Callable[[Iterable[HostId]], None]
     flush_gap_s: float
     dirty_jobs: dict[JobId, None] = field(default_factory=dict)
-    unmarked: dict[JobId, float] = field(default_factory=dict)  # when their marks are due
-    dirty_hosts: set[HostId] = field(default_factory=set)
+    unmarked: dict[JobId, _Unmarked] = field(default_factory=dict)
+    dirty_hosts: dict[HostId, None] = field(default_factory=dict)
     new_rentals: dict[RentalId, Rental] = field(default_factory=dict)
-    ended_rentals: set[RentalId] = field(default_factory=set)
+    ended_rentals: dict[RentalId, None] = field(default_factory=dict)
     starts: dict[AttemptId, Run] = field(default_factory=dict)
     new_broken: set[JobId] | None = None  # to be written
     _in_doubt: set[str] = field(default_factory=set)  # keys with a write that may come late
@@ -69,20 +80,24 @@
             self.unmarked.pop(job, None)
             self.dirty_jobs[job] = None
             self._wake.set()
-        elif job not in self.dirty_jobs and job not in self.unmarked:
-            loop = asyncio.get_running_loop()
-            self.unmarked[job] = loop.time() + MARK_DELAY_S
+        elif job not in self.dirty_jobs:
+            now = asyncio.get_running_loop().time()
+            entry = self.unmarked.get(job)
+            if entry is None:
+                entry = self.unmarked[job] = _Unmarked(now + MARK_DELAY_S)
+            entry.tasks += 1
+            if entry.tasks == MANY_MARKS:
+                entry.due = min(entry.due, now + SOON_MARKS_S)
 
     def _take_due(self) -> None:
         now = asyncio.get_running_loop().time()
-        for job, due in list(self.unmarked.items()):
-            if due > now:
-                return  # they are in the order in which they came
-            del self.unmarked[job]
-            self.dirty_jobs[job] = None
+        for job, entry in list(self.unmarked.items()):
+            if entry.due <= now:
+                del self.unmarked[job]
+                self.dirty_jobs[job] = None
 
     def host(self, host: HostId) -> None:
-        self.dirty_hosts.add(host)
+        self.dirty_hosts[host] = None
         self._wake.set()
 
     def log_start(self, run: Run) -> None:
@@ -97,7 +112,7 @@
         self._wake.set()
 
     def end_rental(self, rental: RentalId) -> None:
-        self.ended_rentals.add(rental)
+        self.ended_rentals[rental] = None
         self._wake.set()
 
     async def record_rentals(self, rentals: list[Rental]) -> None:
@@ -189,13 +204,14 @@
                 return
         for rental in rentals:
             self.new_rentals.pop(rental.id, None)
-        self.ended_rentals.difference_update(ended)
+        for name in ended:
+            self.ended_rentals.pop(name, None)
         if records.BROKEN in txn.puts and self.new_broken is broken:
             self.new_broken = None
         for host_id in hosts:
             # What changed while this was under way is still to be written.
             if self._wanted_host(host_id) == self.view.hosts.get(host_id):
-                self.dirty_hosts.discard(host_id)
+                self.dirty_hosts.pop(host_id, None)
         for job in jobs:
             self.dirty_jobs.pop(job, None)
             if job in self.view.active and self._job_differs(job):
@@ -249,12 +265,12 @@
     def _logged(self, runs: list[Run]) -> None:
         if not runs:
             return
-        hosts = set()
+        hosts: dict[HostId, None] = {}
         for run in runs:
             self.starts.pop(run.id, None)
             if self._planned(run):
                 run.logged = True
-                hosts.add(run.host)
+                hosts[run.host] = None
         self.on_logged(hosts)
 
     # -- machines --------------------------------------------------------------------
@@ -273,7 +289,7 @@
         capacity = min(capacity, MAX_PAGE_HOSTS)
         pages = {page: dict(rows) for page, rows in self.view.host_pages.items()}
         where = {host: page for page, rows in pages.items() for host in rows}
-        touched: set[int] = set()
+        touched: dict[int, None] = {}
         taken: list[HostId] = []
         for host_id in self.dirty_hosts:
             wanted = self._wanted_host(host_id)
@@ -299,7 +315,7 @@
             else:
                 rows[host_id] = wanted
                 included.add(host_id)
-            touched.add(page)
+            touched[page] = None
             taken.append(host_id)
         for page in touched:
             key = f"{records.HOSTS}{page}"
