--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -93,13 +93,15 @@
             continue
         name = world.rng.choice(names)
         worker = world.cloud.workers[name]
-        what = world.rng.choice(["hang", "die", "sick", "wave"])
+        what = world.rng.choice(["hang", "die", "sick", "wave", "notice"])
         if what == "hang":
             worker.hung_until = world.now() + world.rng.uniform(3.0, 25.0)
         elif what == "die":
             world.cloud.remove(name, failed=True)
         elif what == "sick":
             worker.sick = True
+        elif what == "notice":
+            world.spawn(world.cloud.take_back(name, world.rng.uniform(1.0, 15.0)))
         else:
             for other in names:
                 if world.cloud.workers[other].spot and world.rng.random() < 0.5:
@@ -296,3 +298,19 @@
     assert min(play(seed, long_outage).kept for seed in range(90, 93)) > 0.8
     monkeypatch.setattr(Leader, "_notice_standstill", lambda *_: None)
     assert min(play(seed, long_outage).kept for seed in range(90, 93)) < 0.7
+
+
+async def notices(world: World) -> None:
+    while world.now() < BUSY_S:
+        await asyncio.sleep(5.0)
+        names = [name for name, w in world.cloud.workers.items() if w.taken_at is None]
+        if names:
+            world.spawn(world.cloud.take_back(world.rng.choice(names), 6.0))
+
+
+def test_nothing_runs_on_until_its_machine_is_taken(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Work ran to the end of the notice, was lost, and waited until the lease was over."""
+    obeyed = sum(play(seed, notices).lost for seed in range(95, 98))
+    monkeypatch.setattr(Leader, "_evacuate", lambda *_: None)
+    ignored = sum(play(seed, notices).lost for seed in range(95, 98))
+    assert obeyed < ignored / 2, (obeyed, ignored)
--- a/tests/world.py
+++ b/tests/world.py
@@ -268,6 +268,7 @@
         self.sick = False
         self.speed = world.rng.uniform(0.9, 1.1)
         self.hung_until = 0.0
+        self.taken_at: float | None = None  # the end of its notice
         self.gone = False
         self.wake = asyncio.Event()
         self.node = world.rng.randrange(len(world.nodes))
@@ -301,6 +302,7 @@
 
     def vanish(self) -> None:
         self.gone = True
+        self.world.lost += sum(task.on_machine for task in self.tasks.values())
         for task in self.tasks.values():
             self._off(task)
         self.tasks.clear()
@@ -323,7 +325,7 @@
             "tenure": self.session,
             "tally": self.sequence,
             "baton": self.token,
-            "reclaim_s": None,
+            "reclaim_s": None if self.taken_at is None else self.taken_at - self.world.now(),
             "units": rows,
         }
 
@@ -509,6 +511,13 @@
             self.capacity[kind] -= 1
             self.failed[name] = (*kind, self.world.now())
 
+    async def take_back(self, name: str, notice_s: float) -> None:
+        worker = self.workers[name]
+        worker.taken_at = self.world.now() + notice_s
+        worker.wake.set()
+        await asyncio.sleep(notice_s)
+        self.remove(name)
+
     def _rent(self, row: dict[str, Any]) -> Reply:
         if row["rental"] in self.rentals:
             return 200, dump({"hosts": self.rentals[row["rental"]]})
@@ -712,6 +721,7 @@
         self.cancel_asked: set[str] = set()
         self.broken: list[str] = []
         self.seen_running = 0
+        self.lost = 0  # tasks on machines that went away
         self.killed = 0  # tasks on machines whose lease ran out
         self.checker = Checker(self)
         self._spawned: set[asyncio.Task[Any]] = set()
