--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -15,6 +15,7 @@
   (sick-after-errors 2)       ; errors in a row that quarantine a machine
   ; -- fleet
   (spot-allowed 1)
+  (idle-reserve-share 0.06)   ; that work of the lowest rank leaves free while others come
   (headroom-share 0.1)        ; kept beyond the most CPUs wanted lately
   (demand-memory-s 40)        ; how long "lately" is
   (idle-return-s 20)          ; idle this long before a machine may be returned
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -179,6 +179,8 @@
             if record.phase is JobPhase.ACTIVE:
                 if job not in self.progress:
                     self._take_up(job)
+                    if record.spec is not None:
+                        self.picture.note_arrival(record.spec, self.now())
             elif self.progress.pop(job, None) is not None:
                 log.info("job %s is %s", job, record.phase.value)
                 self.ledger.done.pop(job, None)
--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture.py
@@ -44,6 +44,7 @@
 LADDER = 2.0
 TRIAGE_ROUNDS = 3
 SCARCITY_HALF_LIFE_S = 60.0
+BURST_HALF_LIFE_S = 60.0
 
 
 @dataclass(slots=True)
@@ -91,6 +92,8 @@
     peaks: deque[tuple[float, float]] = field(default_factory=deque)  # (when, cpus wanted)
 
     scarcity: dict[TypeName, float] = field(default_factory=dict)
+    burst: float = 0.0  # CPUs that one job of a higher rank asked for lately
+    burst_at: MonotonicTime = MonotonicTime(0.0)
     guaranteed: set[JobId] | None = None  # None: to be counted anew
     put_off: dict[JobId, int] = field(default_factory=dict)  # aims given up for others' sake
     _states: dict[HostId, _Pictured] = field(default_factory=dict)
@@ -139,9 +142,27 @@
             team_room,
             now=now,
             scarcity=self.scarcity,
+            reserve_cpus=self.reserve_cpus(now),
             borrowed=self._borrowed_runs,
         )
 
+    def note_arrival(self, spec: JobSpec, now: MonotonicTime) -> None:
+        if spec.rank is not Rank.LOW:
+            self.burst = max(self._burst(now), spec.tasks * spec.need.cpus)
+            self.burst_at = now
+
+    def _burst(self, now: MonotonicTime) -> float:
+        faded: float = 0.5 ** ((now - self.burst_at) / BURST_HALF_LIFE_S)
+        return self.burst * faded
+
+    def reserve_cpus(self, now: MonotonicTime) -> float:
+        """What work of the lowest rank leaves free, so that others start at once. Nothing, some
+        minutes after the last of them, so that it never waits for nobody's sake."""
+        share = self.settings.operator.idle_reserve_share
+        cpus = sum(h.room.cpus for h in self.ledger.hosts.values() if h.known)
+        reserve = min(share * cpus, self._burst(now))
+        return reserve if reserve >= 1.0 else 0.0
+
     def host_states(self, now: MonotonicTime) -> list[HostState]:
         """Usable machines. What was pictured is used again until something changes."""
         hosts = []
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -82,6 +82,9 @@
         self.snapshot = snapshot
         self.least_cpus = min((entry.need.cpus for entry in self.entries), default=0.0)
         self.groups: dict[GroupKey, _Group] = {}
+        # What work of the lowest rank may still take: others would have to wait until some
+        # of it was stopped, each time that a job of theirs comes.
+        self.idle_room = -snapshot.reserve_cpus
         self.own: set[HostId] = set()  # machines of which this plan has a copy of its own
         self.failed: dict[tuple[GroupKey, ...], list[Room]] = {}
         self.slots: dict[tuple[tuple[GroupKey, ...], Room], list[float]] = {}
@@ -97,8 +100,10 @@
                 weight = snapshot.scarcity.get(host.type, 0.0)
                 group = self.groups[key] = _Group(key, host, weight)
             group.hosts[host.id] = host
-            if host.ready_at <= self.now and host.free.cpus >= self.least_cpus - 1e-6:
-                group.open[host.id] = host
+            if host.ready_at <= self.now:
+                self.idle_room += max(0.0, host.free.cpus)
+                if host.free.cpus >= self.least_cpus - 1e-6:
+                    group.open[host.id] = host
 
     def _all_hosts(self) -> Iterator[HostState]:
         for group in self.groups.values():
@@ -318,6 +323,8 @@
         )
 
     def _wanted(self, entry: Entry) -> bool:
+        if entry.rank == Rank.LOW and self.idle_room < entry.need.cpus:
+            return False
         return bool(entry.waiting) and entry.team_slots > 0 and self._team_allows(entry)
 
     def _cost(self, entry: Entry, host: HostState) -> tuple[float, float, HostId, HostState]:
@@ -466,6 +473,7 @@
             self._group(host).open.pop(host.id, None)
         entry.zones[host.zone] = entry.zones.get(host.zone, 0) + 1
         entry.team_slots -= 1
+        self.idle_room -= entry.need.cpus
         room = self.team_room.get(entry.team)
         if room is not None:
             self.team_room[entry.team] = room.minus(entry.need)
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -151,6 +151,7 @@
     held: list[Reservation] = field(default_factory=list)  # of the plan before
     now: float = 0.0
     scarcity: dict[TypeName, float] = field(default_factory=dict)  # other work depends on it
+    reserve_cpus: float = 0.0  # that work of the lowest rank leaves free
     borrowed: Callable[[], set[AttemptId]] = set  # runs beyond their teams' guarantees
 
 
--- a/dunehold/settings.py
+++ b/dunehold/settings.py
@@ -62,6 +62,7 @@
     leader_renew_s: float = 0.8
     schedule_interval_s: float = 0.1
     headroom_share: float = 0.1
+    idle_reserve_share: float = 0.06
     demand_memory_s: float = 40.0
     idle_return_s: float = 20.0
     silent_return_s: float = 45.0
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -418,3 +418,13 @@
     assert slowness(progress, 20.0) is None
     progress.durations.append(11.0)
     assert slowness(progress, 22.0) == 2.0
+
+
+def test_idle_work_leaves_room_for_what_comes_next() -> None:
+    """With the fleet full of it, every task of a higher rank waited until some was stopped."""
+    guest = replace(entry("g", 1.0, 60.0, 1, tasks=10), rank=Rank.LOW)
+    hosts = [host("h1", 4.0), host("h2", 4.0)]
+    made = plan(Snapshot(hosts, [replace(guest)], reserve_cpus=2.0), Policy())
+    assert len(made.starts) == 6
+    member = entry("m", 1.0, 60.0, 1, tasks=10)
+    assert len(plan(Snapshot(hosts, [member], reserve_cpus=2.0), Policy()).starts) == 8
