--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture.py
@@ -45,6 +45,7 @@
 TRIAGE_ROUNDS = 3
 SCARCITY_HALF_LIFE_S = 60.0
 BURST_HALF_LIFE_S = 60.0
+ORDER_S = 0.5  # the log of starts, and the way to the worker
 
 
 @dataclass(slots=True)
@@ -293,17 +294,28 @@
     def _patience(
         self, progress: JobProgress, waited: float, run_s: float, guaranteed: bool
     ) -> float:
-        """How long it can still wait without missing an aim that can still be met."""
-        slacks = [progress.start_limit - waited]
+        """How long it can still wait without missing an aim that can still be met.
+
+        A start counts from when the image is there, so the time to fetch it is no time to
+        wait for better room.
+        """
+        slacks = []
+        starts = [progress.start_limit, self.guarantee_s if guaranteed else MANY]
+        for limit in starts:
+            if waited <= limit < MANY:
+                slacks.append(max(0.0, limit - waited - self._start_s(progress.spec)))
         slacks.extend(limit - waited - run_s for limit in progress.limits)
-        if guaranteed:
-            slacks.append(self.guarantee_s - waited)
         found = min((slack for slack in slacks if slack >= 0), default=MANY)
         if found < MANY:
             return found
         # All are missed, or there are none: until it rises on the list again.
         return max(0.0, _next_limit(progress, waited, run_s, 0) - waited - run_s)
 
+    def _start_s(self, spec: JobSpec) -> float:
+        """From the decision to a running task: the command's way, and mostly a fetch."""
+        rates = [kind.fetch_gb_per_s for kind in self.types.values()]
+        return ORDER_S + spec.image_gb / max(rates, default=1.0)
+
     @property
     def silent_s(self) -> float:
         """Two reports late, and the time that a worker waits before it tries another node."""
