--- a/dunehold/coordination/autoscaler.py
+++ b/dunehold/coordination/autoscaler.py
@@ -9,7 +9,6 @@
 from dunehold.protocol.cloud import MAX_RENT, MachineType
 from dunehold.types import HostId, Room, TypeName, Zone
 
-DEAR = 1.8  # times the cheapest CPU of the fleet: such machines go first, even busy
 DOUBT = 3.0  # times as dear: a kind whose machines come up late, or never
 FREED_SHARE = 0.3  # of a boot time: room that frees up later is wanted by later arrivals
 
@@ -174,24 +173,18 @@
     kept_cpus: float,
     idle_return_s: float,
 ) -> list[HostId]:
-    """Machines beyond what recent demand needed, the dearest a CPU first.
+    """Idle machines beyond what recent demand needed, the dearest a CPU first."""
 
-    Idle ones; and dear ones though they are busy, which get no more work and go when they
-    are empty: work is spread over the whole fleet, and they would hardly ever be idle.
-    """
-
-    def price(offer: Offer) -> float:
-        kind = types[offer.type]
-        rate = kind.spot_price if offer.spot else kind.price
+    def price(host: FleetHost) -> float:
+        kind = types[host.offer.type]
+        rate = kind.spot_price if host.offer.spot else kind.price
         return rate / max(kind.room.cpus, 1.0)
 
-    prices = {host.offer: price(host.offer) for host in hosts}
-    dear = DEAR * min(prices.values(), default=0.0)
     cpus = sum(host.total.cpus for host in hosts)
     back = []
-    for host in sorted(hosts, key=lambda h: (-prices[h.offer], h.total.cpus - h.free.cpus)):
-        idle = host.idle_s is not None and host.idle_s >= idle_return_s
-        if not idle and prices[host.offer] < dear:
+    for host in sorted(hosts, key=price, reverse=True):
+        idle = host.idle_s
+        if idle is None or idle < idle_return_s:
             continue
         if cpus - host.total.cpus >= kept_cpus:
             cpus -= host.total.cpus
--- a/dunehold/coordination/fleet.py
+++ b/dunehold/coordination/fleet.py
@@ -37,7 +37,6 @@
 LIST_GAP_S = 5.0
 LIST_SHARE = 0.2  # of the cloud's calls
 NOTICE_MARGIN_S = 1.0
-NOT_NEEDED = "not needed"
 QUARANTINE_S = 15.0  # before a machine on which tasks fail is returned
 SURE_LAGS = 3.0  # a list may be twice its lag old; clocks and calls take some more
 LATE_BOOTS = 2.0  # boot times of its type: most machines are up after 0.6 to 1.5
@@ -208,25 +207,13 @@
             self.picture.kept_cpus(demands, now),
             self.settings.operator.idle_return_s,
         )
-        if decision.rent and self._keep_after_all():
-            return
         if decision.rent:
             self._renting = True
             self.spawn(self._rent_all(decision.rent))
         for host_id in decision.give_back:
             host = self.ledger.hosts[host_id]
             if host.draining is None:
-                host.draining = NOT_NEEDED
-
-    def _keep_after_all(self) -> bool:
-        """What is wanted again is not rented while it is only on its way out."""
-        kept = False
-        for host in self.ledger.hosts.values():
-            if host.draining == NOT_NEEDED and not host.deleting:
-                host.draining = None
-                host.version += 1
-                kept = True
-        return kept
+                host.draining = "not needed"
 
     async def _rent_all(self, wanted: list[Rent]) -> None:
         try:
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -4,10 +4,13 @@
 
 import random
 from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
-from dunehold.coordination.picture import JobProgress, _put_off, slowness
+from dunehold.coordination.health import Health
+from dunehold.coordination.picture import JobProgress, Picture, _put_off, slowness
 from dunehold.coordination.scheduler.measy import _Walk, plan
 from dunehold.coordination.scheduler.model import (
     Entry,
@@ -17,10 +20,12 @@
     RunState,
     Snapshot,
 )
+from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.users import decode_job_object
 from dunehold.types import (
     Attempt,
     AttemptId,
+    Duration,
     HostId,
     Image,
     JobId,
@@ -428,3 +433,16 @@
     assert len(made.starts) == 6
     member = entry("m", 1.0, 60.0, 1, tasks=10)
     assert len(plan(Snapshot(hosts, [member], reserve_cpus=2.0), Policy()).starts) == 8
+
+
+def test_a_start_in_time_leaves_time_to_fetch_the_image() -> None:
+    """It counts from when the image is there: who waited for better room came too late."""
+    kind = MachineType(TypeName("t"), cpus(4.0), 10.0, 0.5, 1.0, 0.3, Duration(20.0), ())
+    settings = SimpleNamespace(objectives=())
+    nothing: Any = None
+    picture = Picture(settings, nothing, nothing, {kind.name: kind}, Health(2))  # type: ignore[arg-type]
+    spec = replace(decode_job_object(JOB), image_gb=1.5)
+    progress = JobProgress(spec, set(), [100.0], start_limit=5.0)
+    assert picture._patience(progress, 0.0, 20.0, False) == pytest.approx(1.5)
+    assert picture._patience(progress, 2.0, 20.0, False) == 0.0  # at once, wherever it fits
+    assert picture._patience(progress, 6.0, 20.0, False) == pytest.approx(74.0)
