--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture.py
@@ -44,6 +44,8 @@
 LADDER = 2.0
 TRIAGE_ROUNDS = 3
 SCARCITY_HALF_LIFE_S = 60.0
+BURST_HALF_LIFE_S = 60.0
+ORDER_S = 0.5  # the log of starts, and the way to the worker
 
 
 @dataclass(slots=True)
@@ -91,6 +93,8 @@
     peaks: deque[tuple[float, float]] = field(default_factory=deque)  # (when, cpus wanted)
 
     scarcity: dict[TypeName, float] = field(default_factory=dict)
+    burst: float = 0.0  # CPUs that one job of a higher rank asked for lately
+    burst_at: MonotonicTime = MonotonicTime(0.0)
     guaranteed: set[JobId] | None = None  # None: to be counted anew
     put_off: dict[JobId, int] = field(default_factory=dict)  # aims given up for others' sake
     _states: dict[HostId, _Pictured] = field(default_factory=dict)
@@ -139,9 +143,27 @@
             team_room,
             now=now,
             scarcity=self.scarcity,
+            reserve_cpus=self.reserve_cpus(now),
             borrowed=self._borrowed_runs,
         )
 
+    def note_arrival(self, spec: JobSpec, now: MonotonicTime) -> None:
+        if spec.rank is not Rank.LOW:
+            self.burst = max(self._burst(now), spec.tasks * spec.need.cpus)
+            self.burst_at = now
+
+    def _burst(self, now: MonotonicTime) -> float:
+        faded: float = 0.5 ** ((now - self.burst_at) / BURST_HALF_LIFE_S)
+        return self.burst * faded
+
+    def reserve_cpus(self, now: MonotonicTime) -> float:
+        """What work of the lowest rank leaves free, so that others start at once. Nothing, some
+        minutes after the last of them, so that it never waits for nobody's sake."""
+        share = self.settings.operator.idle_reserve_share
+        cpus = sum(h.room.cpus for h in self.ledger.hosts.values() if h.known)
+        reserve = min(share * cpus, self._burst(now))
+        return reserve if reserve >= 1.0 else 0.0
+
     def host_states(self, now: MonotonicTime) -> list[HostState]:
         """Usable machines. What was pictured is used again until something changes."""
         hosts = []
@@ -272,17 +294,28 @@
     def _patience(
         self, progress: JobProgress, waited: float, run_s: float, guaranteed: bool
     ) -> float:
-        """How long it can still wait without missing an aim that can still be met."""
-        slacks = [progress.start_limit - waited]
+        """How long it can still wait without missing an aim that can still be met.
+
+        A start counts from when the image is there, so the time to fetch it is no time to
+        wait for better room.
+        """
+        slacks = []
+        starts = [progress.start_limit, self.guarantee_s if guaranteed else MANY]
+        for limit in starts:
+            if waited <= limit < MANY:
+                slacks.append(max(0.0, limit - waited - self._start_s(progress.spec)))
         slacks.extend(limit - waited - run_s for limit in progress.limits)
-        if guaranteed:
-            slacks.append(self.guarantee_s - waited)
         found = min((slack for slack in slacks if slack >= 0), default=MANY)
         if found < MANY:
             return found
         # All are missed, or there are none: until it rises on the list again.
         return max(0.0, _next_limit(progress, waited, run_s, 0) - waited - run_s)
 
+    def _start_s(self, spec: JobSpec) -> float:
+        """From the decision to a running task: the command's way, and mostly a fetch."""
+        rates = [kind.fetch_gb_per_s for kind in self.types.values()]
+        return ORDER_S + spec.image_gb / max(rates, default=1.0)
+
     @property
     def silent_s(self) -> float:
         """Two reports late, and the time that a worker waits before it tries another node."""
