--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -78,7 +78,7 @@
         self.claimed: dict[HostId, Room] = {}  # room being cleared for somebody by stops
         self.plan = Plan()
         self.stops_left = policy.stops
-        self.preempting_left = policy.preempting
+        self.preempting_left = policy.preempting if policy.preemption else 0
         self.snapshot = snapshot
         self.least_cpus = min((entry.need.cpus for entry in self.entries), default=0.0)
         self.groups: dict[GroupKey, _Group] = {}
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -166,7 +166,7 @@
     preemption: bool = True
     moves: int = 4
     stops: int = 400
-    preempting: int = 12  # entries a plan that room may be cleared for
+    preempting: int = 40  # entries a plan that room may be cleared for
 
 
 @dataclass(slots=True)
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -446,3 +446,11 @@
     assert picture._patience(progress, 0.0, 20.0, False) == pytest.approx(1.5)
     assert picture._patience(progress, 2.0, 20.0, False) == 0.0  # at once, wherever it fits
     assert picture._patience(progress, 6.0, 20.0, False) == pytest.approx(74.0)
+
+
+def test_preemption_can_be_switched_off() -> None:
+    """The setting had no effect, and room was cleared in every plan."""
+    machine = host("h", 4.0, low("g", 4.0, 300.0))
+    job = entry("member", 4.0, 60.0, 1, patience_s=1.0)
+    assert not decide([machine], [replace(job)], preemption=False).stops
+    assert decide([machine], [job]).stops
