--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -120,3 +120,30 @@
     # Two zones: one refusal each; and what brings most CPUs is asked for first.
     assert len(calls) == 4
     assert len(ended) == 2
+
+
+def test_a_list_that_lacks_a_machine_does_not_prove_it_gone() -> None:
+    """Some lists are older than they should be: a task taken for lost would run twice."""
+    silent = SimpleNamespace(
+        id=HostId("m1"), known=False, deleting=False, fed_at=None, created_at=0.0, address=""
+    )
+    deleted: list[str] = []
+
+    class Cloud:
+        async def delete(self, hosts: list[HostId]) -> None:
+            deleted.extend(hosts)
+
+    def spawn(work: Any) -> None:
+        work.close()
+        deleted.append("asked")
+
+    ledger = SimpleNamespace(hosts={"m1": silent}, gone=set())
+    care = fleet(
+        ledger=ledger, cloud=Cloud(), spawn=spawn, may_start=lambda: True,
+        settings=SimpleNamespace(list_lag_s=6.0),
+    )  # fmt: skip
+    care._take_list([], MonotonicTime(17.0))
+    assert not deleted and not silent.deleting
+    care._take_list([], MonotonicTime(19.0))
+    assert deleted == ["asked"] and silent.deleting
+    assert "m1" in ledger.hosts  # until the delete is answered
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -314,3 +314,25 @@
     monkeypatch.setattr(Leader, "_evacuate", lambda *_: None)
     ignored = sum(play(seed, notices).lost for seed in range(95, 98))
     assert obeyed < ignored / 2, (obeyed, ignored)
+
+
+async def handed_over(world: World) -> None:
+    """How long nobody leads once a leader has given way by itself."""
+    await asyncio.sleep(30.0)
+    box = next(n for n in world.nodes if n.node is not None and n.node.leader is not None)
+    assert box.node is not None and box.node.leader is not None
+    box.node.leader.deposed()
+    began = world.now()
+    while not any(n.node is not None and n.node.leader is not None for n in world.nodes):
+        await asyncio.sleep(0.02)
+    world.waited = world.now() - began
+
+
+def test_a_leader_that_gives_way_ends_its_lease(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its lease kept all others from leading for three seconds more."""
+    assert play(51, handed_over).waited < 1.0
+
+    async def keeps(self: Node, lease: object) -> None: ...
+
+    monkeypatch.setattr(Node, "_resign", keeps)
+    assert play(51, handed_over).waited > 2.0
--- a/tests/world.py
+++ b/tests/world.py
@@ -716,6 +716,7 @@
         self.guests = 0.0  # share of jobs that are a guest's: wide, of low rank
         self.asks_every = 5.0
         self.errors = 0  # tasks that failed
+        self.waited = 0.0  # seconds that something took
         self.kept = 1.0  # share of the machines, over some trouble
         self.completed: set[tuple[str, int]] = set()
         self.cancel_asked: set[str] = set()
