One word for a busy machine, one way to return machines, no sums of constants in plans

A machine is busy by one property for three copies of the test; failed, silent and unlisted machines are deleted by one method for two loops; a standstill and a lack of proof share their consequence; the fastest fetch rate is no longer looked for with every entry of every plan; a comment that spoke of an order which ids don't have is put right.

--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -124,6 +124,11 @@
     def free(self) -> Room:
         return self.room.minus(self.used)
 
+    @property
+    def busy(self) -> bool:
+        """Something is on it, or may be."""
+        return any(run.occupies for run in self.runs.values())
+
 
 @dataclass(frozen=True, slots=True)
 class Exit:
@@ -367,7 +372,7 @@
                 if run.occupies:
                     lost.append(run)
         changed = changed or bool(exits) or bool(lost)
-        if any(run.occupies for run in host.runs.values()):
+        if host.busy:
             host.idle_since = None
         elif host.idle_since is None:
             host.idle_since = now
--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -197,7 +197,7 @@
 
 
 def encode_broken(jobs: set[JobId], most_bytes: int) -> list[JobId]:
-    """As many as a value holds, the names that were chosen last first."""
+    """As many as a value holds; a job left out is found again by its failures."""
     found: list[JobId] = []
     for job in sorted(jobs, reverse=True):
         most_bytes -= len(job) + 3
--- a/dunehold/coordination/autoscaler.py
+++ b/dunehold/coordination/autoscaler.py
@@ -144,12 +144,11 @@
     _, _, offer, kind = min(options, key=lambda option: option[:2])
     copies = kind.room.copies(demand.need)
     number = math.ceil(left / copies)
-    twins = [
-        o
-        for o in options
-        if (o[2].type, o[2].spot, o[2] in doubtful)
-        == (offer.type, offer.spot, offer in doubtful)
-    ]
+
+    def sort(one: Offer) -> tuple[TypeName, bool, bool]:
+        return one.type, one.spot, one in doubtful
+
+    twins = [option for option in options if sort(option[2]) == sort(offer)]
     share = math.ceil(number / len(twins)) if number > 1 else number
     for _, _, twin, _ in sorted(twins, key=lambda option: option[1]):
         take = min(share, number)
--- a/dunehold/coordination/fleet.py
+++ b/dunehold/coordination/fleet.py
@@ -81,7 +81,7 @@
 
     def look_after(self, now: MonotonicTime, attentive_since: MonotonicTime) -> None:
         """Return what failed, is silent, or is not wanted any more."""
-        doomed: list[HostId] = []
+        doomed: list[Host] = []
         if not self.may_start():
             return
         for host in self.ledger.hosts.values():
@@ -92,10 +92,14 @@
             reason = self._doomed(host, now, attentive_since)
             if reason is not None:
                 log.info("host %s is returned: %s", host.id, reason)
-                host.deleting = True
-                doomed.append(host.id)
-        for first in range(0, len(doomed), MAX_DELETE):
-            self.spawn(self._delete(doomed[first : first + MAX_DELETE]))
+                doomed.append(host)
+        self._return(doomed)
+
+    def _return(self, hosts: list[Host]) -> None:
+        for host in hosts:
+            host.deleting = True
+        for first in range(0, len(hosts), MAX_DELETE):
+            self.spawn(self._delete([host.id for host in hosts[first : first + MAX_DELETE]]))
 
     def _doomed(
         self, host: Host, now: MonotonicTime, attentive_since: MonotonicTime
@@ -108,8 +112,7 @@
             # The answer to a delete proves at once that nothing is left on it.
             if now > host.notice_at + NOTICE_MARGIN_S:
                 return "its notice is over"
-            busy = any(run.occupies for run in host.runs.values())
-            return None if busy or not host.known else "it is taken back"
+            return None if host.busy or not host.known else "it is taken back"
         heard = host.fed_at
         if not host.up and heard is None and host.created_at != self.ledger.took_over_at:
             kind = self.types.get(host.type)
@@ -123,8 +126,7 @@
             return None
         if host.quarantined_at is not None and now - host.quarantined_at < QUARANTINE_S:
             return None  # what failed there may yet turn out to fail everywhere
-        busy = any(run.occupies for run in host.runs.values())
-        return None if busy else host.draining
+        return None if host.busy else host.draining
 
     async def _delete(self, hosts: list[HostId]) -> None:
         while True:
@@ -310,7 +312,7 @@
             )
         if not self.may_start():
             return
-        lost: list[HostId] = []
+        lost: list[Host] = []
         sure = SURE_LAGS * self.settings.list_lag_s
         for host in self.ledger.hosts.values():
             if (
@@ -325,10 +327,8 @@
                 # proves that nothing is left of a machine, and a name that is unknown to the
                 # cloud is as good.
                 log.info("host %s is not listed any more", host.id)
-                host.deleting = True
-                lost.append(host.id)
-        for first in range(0, len(lost), MAX_DELETE):
-            self.spawn(self._delete(lost[first : first + MAX_DELETE]))
+                lost.append(host)
+        self._return(lost)
 
 
 def _offer(rental: Rental) -> Offer:
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -135,7 +135,7 @@
             self._heard_at = MonotonicTime(now + FINDING_S * self.patience)
         for job in list(self.view.active):
             self._take_up(job)
-        self.health.known_broken(self.view.broken & set(self.view.active), self.now())
+        self.health.known_broken(self.view.broken & self.view.active.keys(), now)
         self.spawn(self.recorder.run())
         self.spawn(self._tick())
         self.fleet.start()
@@ -537,12 +537,11 @@
 
     def _notice_standstill(self, now: MonotonicTime, late_s: float) -> None:
         """Whatever was silent meanwhile, this node was too."""
-        if late_s > STANDSTILL_S:
+        stood_still = late_s > STANDSTILL_S
+        if stood_still:
             log.info("token %d: stood still for %.1f s", self.token, late_s)
-            self.attentive_since = self._stood_still_at = now
-            if self._heard_at < now:
-                self._heard_at = now
-        elif not self.may_feed():
+            self._heard_at = max(self._heard_at, now)
+        if stood_still or not self.may_feed():
             self.attentive_since = self._stood_still_at = now
 
     def _deaf_after_s(self) -> float:
--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture.py
@@ -98,6 +98,11 @@
     guaranteed: set[JobId] | None = None  # None: to be counted anew
     put_off: dict[JobId, int] = field(default_factory=dict)  # aims given up for others' sake
     _states: dict[HostId, _Pictured] = field(default_factory=dict)
+    _fastest_gb_per_s: float = field(init=False)  # asked for with every entry of every plan
+
+    def __post_init__(self) -> None:
+        rates = (kind.fetch_gb_per_s for kind in self.types.values())
+        self._fastest_gb_per_s = max(rates, default=1.0)
 
     def progress(self, record: JobRecord) -> JobProgress:
         spec = record.spec
@@ -313,8 +318,7 @@
 
     def _start_s(self, spec: JobSpec) -> float:
         """From the decision to a running task: the command's way, and mostly a fetch."""
-        rates = [kind.fetch_gb_per_s for kind in self.types.values()]
-        return ORDER_S + spec.image_gb / max(rates, default=1.0)
+        return ORDER_S + spec.image_gb / self._fastest_gb_per_s
 
     @property
     def silent_s(self) -> float:
--- a/dunehold/coordination/recorder.py
+++ b/dunehold/coordination/recorder.py
@@ -169,7 +169,7 @@
         if broken is not None and txn.size < limit:
             room = self.settings.value_bytes * 3 // 4
             txn.puts[records.BROKEN] = records.encode_broken(
-                broken & set(self.view.active), room
+                broken & self.view.active.keys(), room
             )
         jobs = []
         for job in list(self.dirty_jobs):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import subprocess
 import sys
 from pathlib import Path
@@ -55,7 +54,6 @@
     return subprocess.run(
         [sys.executable, "-m", "dunehold", *arguments],
         cwd=ROOT,
-        env={**os.environ},
         capture_output=True,
         text=True,
         check=False,
