--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -13,6 +13,8 @@
   (preemption 1)
   (direct-commands 1)         ; 0: commands ride in report responses only
   (sick-after-errors 2)       ; errors in a row that quarantine a machine
+  ; -- network
+  (bind-outgoing 0)           ; 1: connections go out from the address of `bind`
   ; -- fleet
   (spot-allowed 1)
   (idle-reserve-share 0.06)   ; that work of the lowest rank leaves free while others come
--- a/dunehold/cli.py
+++ b/dunehold/cli.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check-config, submit, status, cancel."""
+"""The command line: serve, check-config, submit, status, cancel; and the emulator's part."""
 
 from __future__ import annotations
 
@@ -9,16 +9,18 @@
 import os
 import sys
 from pathlib import Path
+from typing import Any
 
 from dunehold import settings as settings_module
 from dunehold.settings import Settings, SettingsError
 
 OPERATOR_FILE = Path(__file__).resolve().parent.parent / "deploy" / "operator.sexp"
 EXIT_FAILED, EXIT_USAGE = 1, 2
+EMULATOR_COMMANDS = ("up", "emulate", "fault", "check-history")
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
-def build_parser() -> argparse.ArgumentParser:
+def build_parser(emulator: bool = True) -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="dunehold", description="A cluster scheduler.")
     commands = parser.add_subparsers(dest="command", required=True)
     serve = commands.add_parser("serve", help="run one controller until it is killed")
@@ -33,6 +35,12 @@
         )
     submit = commands.add_parser("submit", help="submit a job from a JSON file")
     submit.add_argument("file", help="the job, as in POST /v1/jobs; - for standard input")
+    submit.add_argument(
+        "--upload",
+        metavar="HOST:PORT",
+        default=os.environ.get("DUNEHOLD_UPLOAD"),
+        help="where workers get job descriptions from, such as an emulator's control interface",
+    )
     status = commands.add_parser("status", help="show a job's state")
     cancel = commands.add_parser("cancel", help="cancel a job")
     for command in (status, cancel):
@@ -42,11 +50,46 @@
             "--server", default="127.0.0.1:8080", help="HOST:PORT of any controller"
         )
         command.add_argument("--timeout", type=float, default=5.0, help="seconds to wait")
+    if emulator:
+        _add_emulator(commands)
     return parser
 
 
+def _add_emulator(commands: Any) -> None:
+    """A controller's machine need not have what the emulator needs."""
+    try:
+        from dunehold.emulator.commands import add_parsers
+    except ImportError as error:
+        for name in EMULATOR_COMMANDS:
+            missing = commands.add_parser(
+                name, help=f"needs the emulator's extra: {error.name}"
+            )
+            missing.add_argument("rest", nargs=argparse.REMAINDER)
+        return
+    add_parsers(commands)
+
+
+def _emulator(options: argparse.Namespace) -> int:
+    try:
+        from dunehold.emulator.commands import run
+    except ImportError as error:
+        print(
+            f"dunehold: {options.command}: {error.name} is missing: "
+            "install requirements-emulator.txt",
+            file=sys.stderr,
+        )
+        return EXIT_USAGE
+    return run(options)
+
+
 def main(arguments: list[str] | None = None) -> int:
-    options = build_parser().parse_args(arguments)
+    given = sys.argv[1:] if arguments is None else arguments
+    # A controller loads nothing of the emulator.
+    options = build_parser(emulator=given[:1] not in (["serve"], ["check-config"])).parse_args(
+        given
+    )
+    if options.command in EMULATOR_COMMANDS:
+        return _emulator(options)
     if options.command in ("serve", "check-config"):
         try:
             settings = _load(options)
@@ -76,9 +119,15 @@
     )
     logging.getLogger("asyncio").setLevel(logging.ERROR)
     from dunehold.coordination.node import Node  # the client commands need none of it
+    from dunehold.transport.http import HttpClient
+
+    local = settings.listen.host if settings.operator.bind_outgoing else None
+
+    def connect(host: str, port: int, links: int) -> HttpClient:
+        return HttpClient(host, port, links, local)
 
     async def run() -> None:
-        await Node(settings).run()
+        await Node(settings, connect).run()
 
     # What is loaded by now stays: the collector need not look at it again and again.
     gc.collect()
@@ -115,6 +164,12 @@
         except codec.BadMessage as error:
             print(f"dunehold: {options.file}: {error}", file=sys.stderr)
             return EXIT_USAGE
+        if options.upload:
+            from dunehold.emulator.commands import upload
+
+            code = upload(options.upload, body)
+            if code:
+                return code
         method, target = "POST", users.JOBS_PATH
         sent: bytes | None = codec.dump(users.encode_job(job))
     else:
--- /dev/null
+++ b/dunehold/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Everything outside of the controllers, on one machine: models, servers, faults, checks."""
--- /dev/null
+++ b/dunehold/emulator/commands.py
@@ -0,0 +1,223 @@
+"""The emulator's part of the command line: up, emulate, fault, check-history."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import orjson
+
+from dunehold.emulator import faults, history
+from dunehold.emulator.check import check
+from dunehold.emulator.scenario import DEFAULT, Scenario, ScenarioError, load, parse
+from dunehold.emulator.serve.acts import Acts, read_log
+from dunehold.emulator.serve.cluster import Cluster, ClusterError
+from dunehold.emulator.serve.control import FAULTS, JOBS, Control
+from dunehold.emulator.serve.places import Place, Places
+from dunehold.emulator.serve.play import Player, text
+from dunehold.transport.http import HttpClient, NoResponse
+
+EXIT_FAILED, EXIT_USAGE = 1, 2
+FIRST_JOB = {
+    "uid": "job-000001", "jobclass": "first", "owner": "blue", "shape": "batch",
+    "rank": "normal", "units": 8, "vcpus": 1.0, "gpus": 0.0, "memory_gb": 1.0,
+    "bundle": "hello", "size_gb": 0.5, "flavours": None, "hall": None, "together": False,
+    "spread": False, "loaner": True, "expect_s": 5.0, "snapshot_s": 0.0, "flush_s": 0.0,
+    "due_s": None,
+}  # fmt: skip
+
+
+def add_parsers(commands: Any) -> None:
+    up = commands.add_parser("up", help="bring up a small whole cluster on this machine")
+    up.add_argument("scenario", nargs="?", type=Path, help="scenario file; default: built in")
+    play = commands.add_parser("emulate", help="play a scenario on this machine")
+    play.add_argument("scenario", type=Path, help="scenario file (TOML)")
+    play.add_argument("--seed", type=int, default=None, help="instead of the scenario's own")
+    play.add_argument(
+        "--replay", type=Path, default=None, help="the faults.jsonl of an earlier run"
+    )
+    for command in (up, play):
+        command.add_argument("--directory", type=Path, default=None, help="for logs and data")
+        command.add_argument(
+            "--net", type=int, default=77, help="addresses 127.NET.*.* are used (default 77)"
+        )
+    fault = commands.add_parser("fault", help="cause a fault in a running emulator")
+    fault.add_argument("what", help="a fault as JSON, such as " + '\'{"kind":"state",...}\'')
+    fault.add_argument("--control", default=None, help="HOST:PORT of its control interface")
+    checking = commands.add_parser("check-history", help="check a run's history.jsonl again")
+    checking.add_argument("scenario", type=Path)
+    checking.add_argument("history", type=Path)
+
+
+def run(options: argparse.Namespace) -> int:
+    how = {"up": _up, "emulate": _emulate, "fault": _fault, "check-history": _check}
+    try:
+        return how[options.command](options)
+    except (ScenarioError, ClusterError) as error:
+        print(f"dunehold: {error}", file=sys.stderr)
+        return EXIT_USAGE if isinstance(error, ScenarioError) else EXIT_FAILED
+
+
+def _directory(options: argparse.Namespace) -> Path:
+    if options.directory is not None:
+        return Path(options.directory)
+    return Path(tempfile.mkdtemp(prefix="dunehold-"))
+
+
+def _net(options: argparse.Namespace) -> int:
+    if not 1 <= options.net <= 254:
+        raise ScenarioError("--net: must be 1 to 254")
+    return int(options.net)
+
+
+async def _until_signalled(work: Any) -> Any:
+    """Ctrl-C and SIGTERM end the work, and with it all that it started."""
+    task = asyncio.ensure_future(work)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        return None
+
+
+# -- up ----------------------------------------------------------------------------------
+
+
+def _up(options: argparse.Namespace) -> int:
+    scenario = load(options.scenario) if options.scenario else parse(DEFAULT, "built in")
+    directory, net = _directory(options), _net(options)
+    asyncio.run(_until_signalled(_serve(scenario, directory, net)))
+    print("ended, with all that it started")
+    return 0
+
+
+async def _serve(scenario: Scenario, directory: Path, net: int) -> None:
+    cluster = Cluster(scenario, directory, net)
+    acts = Acts(cluster)
+    try:
+        await cluster.start(Control(cluster, acts).server)
+        acts.schedule(scenario.faults)
+        _print_welcome(cluster, directory)
+        await cluster.failed.wait()
+        raise ClusterError(cluster.failure)
+    finally:
+        await cluster.stop()
+
+
+def _print_welcome(cluster: Cluster, directory: Path) -> None:
+    path = directory / "first-job.json"
+    path.write_bytes(orjson.dumps({**FIRST_JOB, "owner": cluster.scenario.teams[0].name}))
+    places = cluster.places
+    print(
+        f"{len(cluster.controllers)} controllers serve at {places.door}; logs in {directory}\n"
+        "submit a first job, and see it run:\n"
+        f"  dunehold submit {path} --server {places.door} --upload {places.control}\n"
+        f"  dunehold status {FIRST_JOB['uid']} --server {places.door}\n"
+        "cause a fault:\n"
+        f'  dunehold fault \'{{"kind":"controllers","do":"kill","node":"leader"}}\''
+        f" --control {places.control}\n"
+        "Ctrl-C ends it all.",
+        flush=True,
+    )
+
+
+# -- emulate -----------------------------------------------------------------------------
+
+
+def _emulate(options: argparse.Namespace) -> int:
+    scenario = load(options.scenario)
+    if options.seed is not None:
+        scenario = msgspec.structs.replace(scenario, seed=options.seed)
+    if scenario.duration_s <= 0:
+        raise ScenarioError(f"{options.scenario}: duration_s: must be over 0; see dunehold up")
+    again = None
+    if options.replay is not None:
+        try:
+            again = read_log(options.replay)
+        except OSError as error:
+            raise ScenarioError(f"{options.replay}: {error.strerror}") from None
+        except msgspec.DecodeError as error:
+            raise ScenarioError(f"{options.replay}: {error}") from None
+    directory = _directory(options)
+    player = Player(scenario, directory, _net(options), again)
+    result = asyncio.run(_until_signalled(_with_bar(player)))
+    if result is None:
+        return EXIT_FAILED
+    print(text(result))
+    print(f"history, logs and faults: {directory}")
+    return 0 if result.good else EXIT_FAILED
+
+
+async def _with_bar(player: Player) -> Any:
+    from rich.progress import Progress, TextColumn
+
+    total = player.scenario.duration_s
+    with Progress(
+        *Progress.get_default_columns(), TextColumn("{task.fields[left]} jobs open"),
+        disable=not sys.stderr.isatty(), transient=True,
+    ) as bar:  # fmt: skip
+        task = bar.add_task(player.scenario.name, total=total, left=0)
+        player.progress = lambda at_s, left: bar.update(
+            task, completed=min(at_s, total), left=left
+        )
+        return await player.run()
+
+
+def _check(options: argparse.Namespace) -> int:
+    scenario = load(options.scenario)
+    limits = {t.name: (t.cpus_max or None, t.gpus_max or None) for t in scenario.teams}
+    try:
+        events = sorted(history.read(options.history), key=lambda event: event.at)
+    except OSError as error:
+        raise ScenarioError(f"{options.history}: {error.strerror}") from None
+    summary = check(events, limits, scenario.workers.cancel_s, settled=True)
+    print(f"{summary.jobs} jobs, {summary.starts} starts, {len(summary.breaches)} breaches")
+    for breach in summary.breaches:
+        print(f"BROKEN: {breach}")
+    return EXIT_FAILED if summary.breaches else 0
+
+
+# -- talking to a running emulator ---------------------------------------------------------
+
+
+def _fault(options: argparse.Namespace) -> int:
+    try:
+        body = msgspec.json.encode(faults.decode(options.what.encode()))
+    except msgspec.DecodeError as error:
+        print(f"dunehold: fault: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    place = options.control or str(Places(77, ()).control)
+    return _post(place, FAULTS, body)
+
+
+def upload(place: str, job: bytes) -> int:
+    """Give workers a job's description, as users do before they submit it."""
+    return _post(place, JOBS, job)
+
+
+def _post(place: str, path: str, body: bytes) -> int:
+    host, colon, port = place.rpartition(":")
+    if not colon or not port.isdigit():
+        print(f"dunehold: {place}: must be HOST:PORT", file=sys.stderr)
+        return EXIT_USAGE
+    target = Place(host, int(port))
+    try:
+        client = HttpClient(target.host, target.port)
+        status, data = asyncio.run(client.request("POST", path, body, 30.0))
+    except NoResponse as error:
+        print(f"dunehold: {place}: no answer ({error})", file=sys.stderr)
+        return EXIT_FAILED
+    if status != 200:
+        print(f"dunehold: {data.decode('utf-8', 'replace')}", file=sys.stderr)
+        return EXIT_FAILED
+    if path == FAULTS:
+        print(data.decode())
+    return 0
--- /dev/null
+++ b/dunehold/emulator/load.py
@@ -0,0 +1,68 @@
+"""Jobs of a scenario's classes: what they are and when they come, fixed before the run."""
+
+from __future__ import annotations
+
+import math
+from typing import Any, NamedTuple
+
+from numpy.random import Generator
+
+from dunehold.emulator.scenario import JobTable, Scenario
+
+
+class Arrival(NamedTuple):
+    at_s: float
+    job: dict[str, Any]
+    cancel_after_s: float | None
+
+
+def plan(scenario: Scenario, rng: Generator) -> list[Arrival]:
+    """Open-loop: nothing that happens in the run moves an arrival."""
+    times: list[tuple[float, JobTable]] = []
+    for table in scenario.jobs:
+        times.extend((0.0, table) for _ in range(table.initial))
+        at = 0.0
+        while table.per_s:
+            at += float(rng.exponential(1.0 / table.per_s))
+            if at >= scenario.duration_s:
+                break
+            times.append((at, table))
+    times.sort(key=lambda row: row[0])
+    return [_arrival(scenario, table, n, at, rng) for n, (at, table) in enumerate(times)]
+
+
+def _arrival(
+    scenario: Scenario, table: JobTable, number: int, at: float, rng: Generator
+) -> Arrival:
+    real_s = table.run_s * math.exp(rng.normal(0.0, table.spread))
+    expect_s = real_s * math.exp(rng.normal(0.0, table.estimate_error))
+    units = round(table.tasks * math.exp(rng.normal(0.0, 0.6)))
+    owners = [team.name for team in scenario.teams]
+    broken = bool(rng.random() < table.broken)
+    cancelled = bool(rng.random() < table.cancelled)
+    job = {
+        "uid": f"job-{number:06d}",
+        "jobclass": table.jobclass,
+        "owner": table.owner or owners[int(rng.integers(len(owners)))],
+        "shape": "batch",
+        "rank": table.rank,
+        "units": max(1, min(table.tasks_max, units)),
+        "vcpus": table.vcpus,
+        "gpus": 0.0,
+        "memory_gb": table.memory_gb,
+        "bundle": f"{table.jobclass}-{int(rng.integers(max(1, table.images)))}",
+        "size_gb": table.size_gb,
+        "flavours": None,
+        "hall": None,
+        "together": False,
+        "spread": False,
+        "loaner": table.loaner,
+        "expect_s": round(expect_s, 3),
+        "snapshot_s": table.snapshot_s,
+        "flush_s": table.flush_s,
+        "due_s": round(expect_s * table.due_factor, 3) if table.due_factor else None,
+        "real_s": round(real_s, 3),
+        "broken": broken,
+    }
+    after = float(rng.uniform(1.0, 30.0)) if cancelled else None
+    return Arrival(at, job, after or (30.0 if broken else None))
--- /dev/null
+++ b/dunehold/emulator/serve/__init__.py
@@ -0,0 +1,1 @@
+"""The emulator over loopback: real HTTP servers and processes, faults on command."""
--- /dev/null
+++ b/dunehold/emulator/serve/control.py
@@ -0,0 +1,71 @@
+"""The control interface: HTTP on loopback, for ``dunehold fault`` and for uploads of jobs.
+
+| request | answer |
+| --- | --- |
+| ``GET /`` | what runs: machines, controllers, state service |
+| ``POST /faults`` | a fault as in a scenario; ``{"targets": [...]}`` |
+| ``POST /jobs`` | a job's description, as users upload it for workers |
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from dunehold.emulator import faults
+from dunehold.emulator.model.base import Malformed, Reply, load, malformed, reply
+from dunehold.emulator.serve.acts import Acts, NoSuchTarget
+from dunehold.emulator.serve.cluster import Cluster
+from dunehold.transport.http import HttpServer, Request, Response
+
+FAULTS, JOBS = "/faults", "/jobs"
+
+
+@dataclass(slots=True)
+class Control:
+    cluster: Cluster
+    acts: Acts
+    server: HttpServer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.server = HttpServer(self._serve, 64)
+
+    async def _serve(self, request: Request) -> Response:
+        answer = await self._answer(request)
+        return Response(answer.status, answer.body)
+
+    async def _answer(self, request: Request) -> Reply:
+        try:
+            if (request.method, request.path) == ("GET", "/"):
+                return reply(200, await self.status())
+            if (request.method, request.path) == ("POST", JOBS):
+                self.cluster.jobs.upload(load(request.body))
+                return reply(200, {})
+            if (request.method, request.path) == ("POST", FAULTS):
+                return reply(200, {"targets": await self.acts.act(faults.decode(request.body))})
+        except (Malformed, msgspec.DecodeError, NoSuchTarget) as error:
+            return malformed(str(error))
+        return reply(404, {"error": "no such path"})
+
+    async def status(self) -> dict[str, Any]:
+        cluster = self.cluster
+        halls = Counter(a.worker.machine.hall for a in cluster.cloud.workers.values())
+        running = sum(
+            task.on_machine
+            for a in cluster.cloud.workers.values()
+            for task in a.worker.tasks.values()
+        )
+        return {
+            "machines": dict(halls),
+            "tasks": running,
+            "cuts": len(cluster.passages.cuts),
+            "controllers": {
+                name: {"pid": child.pid, "starts": child.starts, **child.usage()._asdict()}
+                for name, child in cluster.controllers.items()
+            },
+            "leader": cluster.leader(),
+            "state": await cluster.tell_state(None),
+        }
--- /dev/null
+++ b/dunehold/emulator/serve/play.py
@@ -0,0 +1,282 @@
+"""A scenario from its start to its summary: load, faults, settling, checks."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+from hdrh.histogram import HdrHistogram
+
+from dunehold.emulator.agents.users import Users
+from dunehold.emulator.check import Checker, Summary, summarize
+from dunehold.emulator.faults import AnyFault
+from dunehold.emulator.history import Event
+from dunehold.emulator.load import Arrival, plan
+from dunehold.emulator.scenario import Scenario
+from dunehold.emulator.serve.acts import Acts
+from dunehold.emulator.serve.cluster import Cluster, ClusterError
+from dunehold.emulator.serve.control import Control
+from dunehold.emulator.serve.places import Place
+from dunehold.transport.http import HttpClient
+
+SAMPLE_S = 1.0
+USER_LINKS = 512
+MOST_LATENCY_US = 120_000_000
+
+
+def latencies() -> HdrHistogram:
+    """Microseconds, three significant digits."""
+    return HdrHistogram(1, MOST_LATENCY_US, 3)
+
+
+@dataclass(slots=True)
+class FrontDoor:
+    """Users as the balancer sees them: a connection for each request."""
+
+    place: Place
+
+    async def ask(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> tuple[int, bytes, float]:
+        client = HttpClient(self.place.host, self.place.port, 1)
+        try:
+            return await client.ask(method, path, body, timeout_s)
+        finally:
+            client.close()
+
+
+@dataclass(slots=True)
+class Sample:
+    """One second of a run."""
+
+    at_s: float
+    machines: int
+    tasks: int
+    waiting: int  # jobs accepted and not over
+    reports: int  # so far
+    state_served: int
+    cpu_s: dict[str, float]
+    rss_mb: dict[str, float]
+
+
+@dataclass(slots=True)
+class Result:
+    scenario: Scenario
+    summary: Summary
+    duration_s: float
+    submissions: HdrHistogram
+    answers: HdrHistogram
+    statuses: dict[int, int]
+    first_start_s: list[float]  # from a job's first try to its first start
+    recoveries: list[tuple[float, float]]  # a leader was killed; the next start after it
+    ended: list[tuple[str, int]]
+    samples: list[Sample]
+    cost: float
+    faults: int
+
+    @property
+    def good(self) -> bool:
+        return not self.summary.breaches and not self.ended
+
+
+@dataclass(slots=True)
+class Player:
+    """Plays one scenario. ``progress`` is told of each second and what is still open."""
+
+    scenario: Scenario
+    directory: Path
+    net: int = 77
+    again: list[AnyFault] | None = None  # the faults of an earlier run instead
+    progress: Callable[[float, int], None] = lambda at_s, left: None
+    cluster: Cluster = field(init=False)
+    acts: Acts = field(init=False)
+    users: Users = field(init=False)
+    checker: Checker = field(init=False)
+    samples: list[Sample] = field(default_factory=list)
+    _submissions: HdrHistogram = field(default_factory=latencies)
+    _answers: HdrHistogram = field(default_factory=latencies)
+    _statuses: dict[int, int] = field(default_factory=dict)
+    _asked_at: dict[str, float] = field(default_factory=dict)
+    _first: dict[str, float] = field(default_factory=dict)
+    _kills: list[float] = field(default_factory=list)
+    _recoveries: list[tuple[float, float]] = field(default_factory=list)
+    _lost: int = 0
+
+    def __post_init__(self) -> None:
+        scenario = self.scenario
+        self.cluster = Cluster(scenario, self.directory, self.net, [self._seen])
+        self.acts = Acts(self.cluster)
+        door = FrontDoor(self.cluster.places.door)
+        self.users = Users(door, self.cluster.history, self.cluster.rng)
+        self.users.submitted, self.users.asked = self._submitted, self._asked
+        limits = {
+            team.name: (team.cpus_max or None, team.gpus_max or None) for team in scenario.teams
+        }
+        self.checker = Checker(limits, scenario.workers.cancel_s)
+
+    # -- what is seen --------------------------------------------------------------------
+
+    def _seen(self, event: Event) -> None:
+        self.checker.feed(event)
+        data = event.data
+        if event.kind == "job":
+            self._asked_at[data["uid"]] = event.at
+        elif event.kind == "on":
+            uid = data["item"].rpartition("/")[0]
+            if uid in self._asked_at and uid not in self._first:
+                self._first[uid] = event.at - self._asked_at[uid]
+            self._recoveries.extend((at, event.at - at) for at in self._kills)
+            self._kills.clear()
+        elif event.kind == "off":
+            self._lost += data["why"] in ("gone", "lease")
+        elif event.kind == "fault" and data["what"] == "controllers":
+            self._kills.append(event.at)
+
+    def _submitted(self, latency_s: float, status: int) -> None:
+        self._submissions.record_value(min(int(latency_s * 1e6) + 1, MOST_LATENCY_US))
+        self._statuses[status] = self._statuses.get(status, 0) + 1
+
+    def _asked(self, latency_s: float, status: int) -> None:
+        self._answers.record_value(min(int(latency_s * 1e6) + 1, MOST_LATENCY_US))
+
+    # -- running -------------------------------------------------------------------------
+
+    async def run(self) -> Result:
+        """ClusterError when it does not come up, or something in the emulator fails."""
+        try:
+            await self.cluster.start(Control(self.cluster, self.acts).server)
+            return await self._play()
+        finally:
+            await self.cluster.stop()
+
+    async def _play(self) -> Result:
+        cluster, scenario = self.cluster, self.scenario
+        began = time.monotonic()
+        arrivals = plan(scenario, cluster.rng)
+        for arrival in arrivals:
+            cluster.jobs.upload(arrival.job)
+        self.acts.schedule(scenario.faults if self.again is None else self.again)
+        cluster.spawn(self.users.stranger(7.0))
+        sampling = cluster.spawn(self._sample(began))
+        await self._or_failure(self._arrive(arrivals, began))
+        await self._or_failure(self._settle(began))
+        sampling.cancel()
+        settled = not self._open()
+        breaches = self.checker.finish(settled=True)
+        self._write(settled)
+        return Result(
+            scenario,
+            summarize(self.checker, self._lost, breaches),
+            time.monotonic() - began,
+            self._submissions,
+            self._answers,
+            self._statuses,
+            sorted(self._first.values()),
+            self._recoveries,
+            cluster.ended,
+            self.samples,
+            cluster.cloud.cloud.cost(time.monotonic()),
+            len(self.acts.done),
+        )
+
+    async def _or_failure(self, work: Any) -> None:
+        failed = asyncio.ensure_future(self.cluster.failed.wait())
+        working = asyncio.ensure_future(work)
+        await asyncio.wait((failed, working), return_when=asyncio.FIRST_COMPLETED)
+        failed.cancel()
+        if self.cluster.failed.is_set():
+            working.cancel()
+            raise ClusterError(self.cluster.failure)
+        await working
+
+    async def _arrive(self, arrivals: list[Arrival], began: float) -> None:
+        for arrival in arrivals:
+            intended = began + arrival.at_s
+            await asyncio.sleep(max(0.0, intended - time.monotonic()))
+            self.cluster.spawn(self.users.live(arrival.job, arrival.cancel_after_s, intended))
+        end = began + self.scenario.duration_s
+        await asyncio.sleep(max(0.0, end - time.monotonic()))
+
+    async def _settle(self, began: float) -> None:
+        """Until every accepted job has had its final answer, or patience is over."""
+        end = began + self.scenario.duration_s + self.scenario.settle_s
+        while self._open() and time.monotonic() < end:
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(1.0)
+
+    def _open(self) -> int:
+        return sum(job.final is None and not job.refused for job in self.checker.jobs.values())
+
+    async def _sample(self, began: float) -> None:
+        cluster = self.cluster
+        while True:
+            agents = cluster.cloud.workers.values()
+            tasks = sum(t.on_machine for a in agents for t in a.worker.tasks.values())
+            state = await cluster.tell_state(None)
+            usage = {name: child.usage() for name, child in cluster.controllers.items()}
+            usage["state"] = cluster.state.usage()
+            at_s = time.monotonic() - began
+            self.samples.append(
+                Sample(
+                    at_s,
+                    len(agents),
+                    tasks,
+                    self._open(),
+                    sum(agent.reports for agent in agents),
+                    0 if state is None else state["served"],
+                    {name: used.cpu_s for name, used in usage.items()},
+                    {name: used.rss_mb for name, used in usage.items()},
+                )
+            )
+            self.progress(at_s, self._open())
+            await asyncio.sleep(SAMPLE_S)
+
+    def _write(self, settled: bool) -> None:
+        row = {
+            "scenario": self.scenario.name,
+            "seed": self.scenario.seed,
+            "settled": settled,
+            "faults": len(self.acts.done),
+        }
+        (self.directory / "run.json").write_bytes(orjson.dumps(row))
+
+
+def text(result: Result) -> str:
+    """The summary of a run, for people."""
+    summary, scenario = result.summary, result.scenario
+    lines = [
+        f"scenario {scenario.name}, seed {scenario.seed}: {result.duration_s:.0f} s",
+        f"jobs: {summary.jobs} made, {summary.accepted} accepted, {summary.done} done, "
+        f"{summary.cancelled} cancelled, {summary.open} open",
+        f"tasks: {summary.tasks_completed} completed in {summary.starts} starts, "
+        f"{summary.lost} lost with their machines or leases",
+        f"faults: {result.faults}; money spent: {result.cost:.2f}",
+    ]
+    for name, histogram in (("submission", result.submissions), ("question", result.answers)):
+        if histogram.get_total_count():
+            at = [histogram.get_value_at_percentile(p) / 1000 for p in (50, 99, 99.9)]
+            lines.append(
+                f"{name} latency, ms: p50 {at[0]:.1f}, p99 {at[1]:.1f}, p99.9 {at[2]:.1f}"
+            )
+    if result.first_start_s:
+        middle = result.first_start_s[len(result.first_start_s) // 2]
+        lines.append(f"first start of a job: median {middle:.2f} s")
+    if result.recoveries:
+        worst = max(seconds for _, seconds in result.recoveries)
+        lines.append(f"next start after a controller was hit: at most {worst:.1f} s")
+    if result.samples:
+        last = result.samples[-1]
+        for name in sorted(last.cpu_s):
+            most = max(sample.rss_mb.get(name, 0.0) for sample in result.samples)
+            share = last.cpu_s[name] / max(last.at_s, 1e-9)
+            lines.append(f"{name}: {share:.3f} of a core, at most {most:.0f} MB")
+    lines.extend(f"ended by itself: {name} with {code}" for name, code in result.ended)
+    lines.extend(f"BROKEN: {breach}" for breach in summary.breaches)
+    if not summary.breaches:
+        lines.append("every job has exactly one final answer; no rule broken")
+    return "\n".join(lines)
--- /dev/null
+++ b/dunehold/emulator/serve/processes.py
@@ -0,0 +1,118 @@
+"""Child processes: controllers and the state service, their ends, and what they use.
+
+Only what was started here is ever signalled: each child is known by its own handle.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import resource
+import signal
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parents[3]
+PAGE, TICKS = resource.getpagesize(), os.sysconf("SC_CLK_TCK")
+
+
+class Usage(NamedTuple):
+    cpu_s: float
+    rss_mb: float
+
+
+@dataclass(slots=True, eq=False)
+class Child:
+    """A process that is kept running: started again ``back_s`` after its end."""
+
+    name: str
+    arguments: list[str]
+    log: Path
+    back_s: float = 3.0
+    environment: dict[str, str] = field(default_factory=dict)
+    starts: int = 0
+    ended: Callable[[int], None] = lambda code: None
+    stopped_until: float = 0.0
+    wanted: bool = True
+    past_cpu_s: float = 0.0  # of its earlier lives
+    _process: asyncio.subprocess.Process | None = None
+    _last: Usage = Usage(0.0, 0.0)
+
+    async def run(self) -> None:
+        """Until it is cancelled; then the process ends too."""
+        try:
+            while self.wanted:
+                await self._start()
+                assert self._process is not None
+                code = await self._process.wait()
+                self._process = None
+                self.past_cpu_s += self._last.cpu_s
+                self._last = Usage(0.0, 0.0)
+                self.ended(code)
+                await asyncio.sleep(self.back_s)
+        finally:
+            self.kill()
+
+    async def _start(self) -> None:
+        self.starts += 1
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *self.arguments,
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+                # A group of its own: Ctrl-C at a terminal reaches the emulator alone.
+                start_new_session=True,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path), **self.environment},
+            )
+
+    @property
+    def pid(self) -> int | None:
+        process = self._process
+        return None if process is None or process.returncode is not None else process.pid
+
+    def _signal(self, number: int) -> None:
+        if self.pid is not None and self._process is not None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    def kill(self) -> None:
+        self.usage()
+        self._signal(signal.SIGKILL)
+
+    async def stand_still(self, seconds: float) -> None:
+        """SIGSTOP: its clocks run on, and nothing of it does."""
+        self._signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._signal(signal.SIGCONT)
+
+    def usage(self) -> Usage:
+        """Processor time of all its lives, and what it holds now (Linux)."""
+        if self.pid is not None:
+            with contextlib.suppress(OSError, IndexError, ValueError):
+                fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+                pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+                spent = (int(fields[11]) + int(fields[12])) / TICKS
+                self._last = Usage(spent, pages * PAGE / 1e6)
+        return Usage(self.past_cpu_s + self._last.cpu_s, self._last.rss_mb)
+
+
+def raise_file_limit() -> None:
+    """Hundreds of machines are thousands of sockets."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < hard:
+        with contextlib.suppress(ValueError, OSError):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 1 << 18), hard))
+
+
+def monotonic() -> float:
+    """One clock for all processes of this machine."""
+    return time.monotonic()
--- /dev/null
+++ b/dunehold/emulator/serve/state.py
@@ -0,0 +1,157 @@
+"""The emulated state service as a process of its own, so that it can be killed and come back.
+
+``python -m dunehold.emulator.serve.state SETTINGS.json``; the control interface takes what the
+emulator says: cuts, outages, refusals, lag, delays, or to die between a write and its answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import orjson
+
+from dunehold.emulator.agents.outside import StateAgent
+from dunehold.emulator.agents.passages import Passages
+from dunehold.emulator.keeper import DiskKeeper
+from dunehold.emulator.model.base import Malformed, Reply, load, malformed, reply
+from dunehold.emulator.model.cuts import Mode
+from dunehold.emulator.model.store import Limits, Row, Store
+from dunehold.emulator.serve.places import STATE, Places
+from dunehold.emulator.serve.processes import raise_file_limit
+from dunehold.emulator.serve.sockets import HostServer, PortTaken, host_server
+from dunehold.transport.http import HttpServer, Request, Response
+
+
+class StateSettings(msgspec.Struct, frozen=True):
+    net: int
+    nodes: list[str]
+    labels: dict[str, list[str]]
+    directory: str
+    map_mb: int
+    rps: float | None
+    write_rps: float | None
+    value_bytes: int
+    txn_ops: int
+
+
+@dataclass(slots=True)
+class DyingKeeper:
+    """Ends the process once a commit is on disk and before anybody is told."""
+
+    inner: DiskKeeper
+    dies_after: int = 0  # with so many more commits; 0: it does not
+
+    def commit(
+        self, revision: int, rows: dict[str, Row | None], leases: dict[int, int | None]
+    ) -> None:
+        self.inner.commit(revision, rows, leases)
+        if self.dies_after and rows:
+            self.dies_after -= 1
+            if not self.dies_after:
+                os.kill(os.getpid(), signal.SIGKILL)
+
+
+@dataclass(slots=True)
+class StateProcess:
+    settings: StateSettings
+    passages: Passages = field(default_factory=Passages)
+    lag_s: float = 0.0
+    keeper: DyingKeeper = field(init=False)
+    agent: StateAgent = field(init=False)
+    server: HostServer = field(init=False)
+
+    def __post_init__(self) -> None:
+        settings = self.settings
+        disk = DiskKeeper(Path(settings.directory), settings.map_mb << 20)
+        self.keeper = DyingKeeper(disk)
+        limits = Limits(
+            settings.rps, settings.write_rps, settings.value_bytes, settings.txn_ops
+        )
+        store = Store(limits, self.keeper)
+        self.agent = StateAgent(store)
+        labels = {name: tuple(groups) for name, groups in settings.labels.items()}
+        self.passages.cuts.labels.update(labels)
+
+    async def run(self) -> None:
+        places = Places(self.settings.net, tuple(self.settings.nodes))
+        self.keeper.inner.restore(self.agent.store, asyncio.get_running_loop().time())
+        self.server = host_server(STATE, self._handle, places, self.passages)
+        await self.server.open(places.state)
+        control = HttpServer(self._control, 64)
+        await control.start(places.state_control.host, places.state_control.port)
+        await self.agent.run()
+
+    async def _handle(self, method: str, target: str, body: bytes | None, source: str) -> Reply:
+        if self.lag_s:
+            await asyncio.sleep(self.lag_s)
+        return await self.agent.handle(method, target, body, source)
+
+    async def _control(self, request: Request) -> Response:
+        if request.method == "GET":
+            return Response(200, orjson.dumps(self.status()))
+        try:
+            answer = self._command(load(request.body))
+        except (Malformed, KeyError, ValueError, TypeError) as error:
+            answer = malformed(f"{type(error).__name__}: {error}")
+        return Response(answer.status, answer.body)
+
+    def status(self) -> dict[str, Any]:
+        store = self.agent.store
+        return {
+            "pid": os.getpid(),
+            "revision": store.revision,
+            "keys": len(store.rows),
+            "served": self.agent.served,
+            "commits": self.keeper.inner.commits,
+            "refusals": store.refusals,
+        }
+
+    def _command(self, row: dict[str, Any]) -> Reply:
+        store, now = self.agent.store, asyncio.get_running_loop().time()
+        match row["do"]:
+            case "cut":
+                self.passages.begin(row["a"], row["b"], Mode(row["mode"]))
+            case "join":
+                self.passages.end(row["a"], row["b"])
+            case "outage":
+                store.begin_outage()
+            case "outage_over":
+                store.end_outage(now)
+            case "refuse":
+                store.refused.add(row["node"])
+            case "refuse_over":
+                store.refused.discard(row["node"])
+            case "lag":
+                self.lag_s = float(row["seconds"])
+            case "delay":
+                self.server.delays.add(row["path"], float(row["seconds"]), int(row["count"]))
+            case "die_after_write":
+                self.keeper.dies_after = 1
+            case other:
+                raise Malformed(f"{other}: no such command")
+        self.agent.poke()
+        return reply(200, {})
+
+
+def main(arguments: list[str]) -> int:
+    settings = msgspec.json.decode(Path(arguments[0]).read_bytes(), type=StateSettings)
+    raise_file_limit()
+    try:
+        asyncio.run(StateProcess(settings).run())
+    except PortTaken as error:
+        print(f"dunehold: state service: {error}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        pass
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/dunehold/emulator/serve/written.py
@@ -0,0 +1,103 @@
+"""The settings files that the emulator writes for its controllers and its state service."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from dunehold.emulator.scenario import Scenario
+from dunehold.emulator.serve.places import Places
+from dunehold.emulator.serve.state import StateSettings
+
+
+def node_names(scenario: Scenario) -> tuple[str, ...]:
+    return tuple(f"dunehold-{n}" for n in range(scenario.controllers))
+
+
+def zone_of(scenario: Scenario, index: int) -> str:
+    return scenario.zones[index % len(scenario.zones)]
+
+
+def labels(scenario: Scenario) -> dict[str, list[str]]:
+    """Zones and groups of the controllers, for cuts."""
+    names = node_names(scenario)
+    return {name: [zone_of(scenario, n), "@nodes"] for n, name in enumerate(names)}
+
+
+def write_settings(scenario: Scenario, places: Places, directory: Path) -> list[Path]:
+    """One settings file a controller, and the operators' file that they share."""
+    rows = {"bind_outgoing": 1.0, **scenario.operator}
+    entries = " ".join(f"({k.replace('_', '-')} {_plain(v)})" for k, v in rows.items())
+    (directory / "operator.sexp").write_text(f"(dunehold {entries})\n")
+    return [
+        _write(directory / f"{name}.toml", _controller(scenario, places, n))
+        for n, name in enumerate(places.nodes)
+    ]
+
+
+def _plain(value: float) -> str:
+    return str(int(value)) if value == int(value) else str(value)
+
+
+def _write(path: Path, text: bytes) -> Path:
+    path.write_bytes(text)
+    return path
+
+
+def _controller(scenario: Scenario, places: Places, index: int) -> bytes:
+    workers, state, cloud = scenario.workers, scenario.state, scenario.cloud
+    return msgspec.toml.encode(
+        {
+            "host_name": places.nodes[index],
+            "site": zone_of(scenario, index),
+            "bind": str(places.node(index)),
+            "peer_bind": str(places.peer(index)),
+            "seeds": [
+                {
+                    "host_name": name,
+                    "site": zone_of(scenario, n),
+                    "address": str(places.between(index, n)),
+                }
+                for n, name in enumerate(places.nodes)
+                if n != index
+            ],
+            "endpoints": {"cloud": str(places.cloud), "state": str(places.state)},
+            "params": {
+                "nodes": scenario.controllers,
+                "zones": scenario.zones,
+                "clock_error_ms": 5.0,
+                "teams": scenario.teams,
+                "objectives": scenario.objectives,
+                "workers": workers,
+                "state": {
+                    "rps": state.rps,
+                    "write_rps": state.write_rps,
+                    "value_kb": state.value_kb,
+                    "txn_ops": state.txn_ops,
+                },
+                "cloud": {"rps": cloud.rps, "list_lag_s": cloud.list_lag_s},
+                "machine_limits": {
+                    "core_share": scenario.core_share,
+                    "ram_mb": scenario.ram_mb,
+                    "sockets": scenario.sockets,
+                },
+            },
+        }
+    )
+
+
+def write_state(scenario: Scenario, places: Places, directory: Path) -> Path:
+    state = scenario.state
+    settings = StateSettings(
+        places.net,
+        list(places.nodes),
+        labels(scenario),
+        str(directory / "state"),
+        state.map_mb,
+        None if state.unlimited else state.rps,
+        None if state.unlimited else state.write_rps,
+        int(state.value_kb * 1024),
+        state.txn_ops,
+    )
+    return _write(directory / "state.json", msgspec.json.encode(settings))
--- a/dunehold/settings.py
+++ b/dunehold/settings.py
@@ -77,6 +77,7 @@
     lifting: int = 1
     direct_commands: int = 1
     preemption: int = 1
+    bind_outgoing: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/dunehold/transport/http.py
+++ b/dunehold/transport/http.py
@@ -25,6 +25,7 @@
     path: str
     query: dict[str, str]
     body: bytes
+    peer: str = ""  # the address that it came from, without the port
 
 
 class Response(NamedTuple):
@@ -79,8 +80,9 @@
             return
         self._open.add(writer)
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER)
+        peer = str((writer.get_extra_info("peername") or ("",))[0])
         try:
-            while await self._exchange(conn, reader, writer):
+            while await self._exchange(conn, reader, writer, peer):
                 conn.start_next_cycle()
         except (OSError, TimeoutError, h11.RemoteProtocolError, asyncio.IncompleteReadError):
             pass
@@ -92,7 +94,11 @@
             writer.close()
 
     async def _exchange(
-        self, conn: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        peer: str,
     ) -> bool:
         """One request and its response; true while the connection may be used again."""
         try:
@@ -108,7 +114,9 @@
             await self._send(conn, writer, request, close=True)
             return False
         try:
-            response = await self.handler(request)
+            response = await self.handler(request._replace(peer=peer))
+        except ConnectionError:
+            raise  # the handler gives the connection up, not the request alone
         except Exception:
             log.exception("request %s %s failed", request.method, request.path)
             response = Response(503, retry_after=1)
@@ -173,6 +181,14 @@
         await writer.drain()
 
 
+class Answer(NamedTuple):
+    """What came back; ``retry_after_s`` is 0 where the server named none."""
+
+    status: int
+    body: bytes
+    retry_after_s: float
+
+
 class _Link(NamedTuple):
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
@@ -181,11 +197,15 @@
 
 @dataclass(slots=True)
 class HttpClient:
-    """Requests to one address over kept-open connections, at most ``max_links`` at once."""
+    """Requests to one address over kept-open connections, at most ``max_links`` at once.
+
+    ``local_host``: the address of this machine that connections go out from.
+    """
 
     host: str
     port: int
     max_links: int = 8
+    local_host: str | None = None
     _idle: deque[_Link] = field(default_factory=deque)
     _slots: asyncio.Semaphore | None = None
 
@@ -193,6 +213,12 @@
         self, method: str, target: str, body: bytes | None, timeout_s: float
     ) -> tuple[int, bytes]:
         """Status and body, or NoResponse when none came in time."""
+        return (await self.ask(method, target, body, timeout_s))[:2]
+
+    async def ask(
+        self, method: str, target: str, body: bytes | None, timeout_s: float
+    ) -> Answer:
+        """As ``request``, with what the answer says of a retry."""
         if self._slots is None:
             self._slots = asyncio.Semaphore(self.max_links)
         link: _Link | None = None
@@ -228,7 +254,10 @@
         return None
 
     async def _connect(self) -> _Link:
-        reader, writer = await asyncio.open_connection(self.host, self.port, limit=READ_CHUNK)
+        local = None if self.local_host is None else (self.local_host, 0)
+        reader, writer = await asyncio.open_connection(
+            self.host, self.port, limit=READ_CHUNK, local_addr=local
+        )
         return _Link(reader, writer, h11.Connection(h11.CLIENT))
 
     @staticmethod
@@ -238,7 +267,7 @@
 
     async def _exchange(
         self, link: _Link, method: str, target: str, body: bytes | None
-    ) -> tuple[int, bytes]:
+    ) -> Answer:
         headers = [("Host", f"{self.host}:{self.port}")]
         if body is not None:
             headers.append(("Content-Type", "application/json"))
@@ -250,7 +279,7 @@
         out += conn.send(h11.EndOfMessage()) or b""
         link.writer.write(out)
         await link.writer.drain()
-        status = 0
+        status, retry_after_s = 0, 0.0
         parts: list[bytes] = []
         while True:
             event = conn.next_event()
@@ -258,9 +287,17 @@
                 conn.receive_data(await link.reader.read(READ_CHUNK))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                retry_after_s = _retry_after(event)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return status, b"".join(parts)
+                return Answer(status, b"".join(parts), retry_after_s)
             elif isinstance(event, h11.ConnectionClosed):
                 raise EOFError("closed")
+
+
+def _retry_after(response: h11.Response) -> float:
+    for name, value in response.headers:
+        if name == b"retry-after" and value.isdigit():
+            return float(value)
+    return 0.0
--- a/tests/test_repeat.py
+++ b/tests/test_repeat.py
@@ -11,8 +11,8 @@
 from tests.test_rules import bad_nights, play
 for seed in (80, 83):
     world = play(seed, bad_nights, nodes=5)
-    print(world.checker.starts, world.killed, world.errors, len(world.completed))
-    print(world.state.revision, sorted(world.checker.told.items()))
+    print(world.checker.starts, world.killed, world.errors, len(world.jobs.done))
+    print(world.state.store.revision, sorted(world.told.items()))
 """
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,6 +12,7 @@
 from dunehold.coordination.leader import Leader
 from dunehold.coordination.node import Node
 from dunehold.coordination.relay import Relay
+from dunehold.emulator.model.cloud import Boots
 from tests import world as world_module
 from tests.virtual import VirtualLoop
 from tests.world import ZONES, NodeBox, RuleBroken, World
@@ -95,16 +96,18 @@
         worker = world.cloud.workers[name]
         what = world.rng.choice(["hang", "die", "sick", "wave", "notice"])
         if what == "hang":
-            worker.hung_until = world.now() + world.rng.uniform(3.0, 25.0)
+            with worker.touched() as model:
+                model.hang(world.now(), world.rng.uniform(3.0, 25.0))
         elif what == "die":
             world.cloud.remove(name, failed=True)
         elif what == "sick":
-            worker.sick = True
+            worker.worker.sick = True
         elif what == "notice":
             world.spawn(world.cloud.take_back(name, world.rng.uniform(1.0, 15.0)))
         else:
             for other in names:
-                if world.cloud.workers[other].spot and world.rng.random() < 0.5:
+                spot = world.cloud.workers[other].worker.machine.loaner
+                if spot and world.rng.random() < 0.5:
                     world.cloud.remove(other)
 
 
@@ -150,11 +153,13 @@
 
 async def boots(world: World) -> None:
     """Machines come up at once, late or never, and lists are old."""
-    cloud = world.cloud
-    cloud.lag_s = 3.0
+    cloud = world.cloud.cloud
+    cloud.list_lag_s = 3.0
     while True:
-        cloud.dead_boots = world.rng.choice([0.0, 0.3, 0.8])
-        cloud.boot_times = world.rng.choice([(0.2, 1.0), (8.0, 30.0, 60.0), (6.0, 10.0)])
+        dead = world.rng.choice([0.0, 0.3, 0.8])
+        cloud.boots = world.rng.choice(
+            [Boots(dead, at_once=1.0), Boots(dead, late=0.6, late_times=5.0), Boots(dead)]
+        )
         await asyncio.sleep(world.rng.uniform(10.0, 25.0))
 
 
@@ -162,7 +167,7 @@
     """Guests with wide jobs of low rank, broken jobs, and many more questions."""
     world.guests, world.broken_share = 0.3, 0.2
     while True:
-        world.asks_every = world.rng.choice([5.0, 0.6])
+        world.users.poll_s = world.rng.choice([5.0, 0.6])
         await asyncio.sleep(10.0)
 
 
@@ -182,10 +187,10 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_quiet_day_is_served(seed: int) -> None:
     world = play(seed, quiet)
-    batch = [j["uid"] for j in world.jobs.values() if j["shape"] == "batch"]
+    batch = [job["uid"] for job in world.made if job["shape"] == "batch"]
     over = [uid for uid in batch if world.told.get(uid) in ("done", "cancelled")]
     assert len(over) >= 0.9 * len(batch)
-    assert world.seen_running > 10  # whichever node is asked
+    assert world.users.seen_running > 10  # whichever node is asked
 
 
 @pytest.mark.parametrize("seed", range(10, 14))
@@ -303,7 +308,7 @@
 async def notices(world: World) -> None:
     while world.now() < BUSY_S:
         await asyncio.sleep(5.0)
-        names = [name for name, w in world.cloud.workers.items() if w.taken_at is None]
+        names = [name for name, w in world.cloud.workers.items() if w.worker.taken_at is None]
         if names:
             world.spawn(world.cloud.take_back(world.rng.choice(names), 6.0))
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -1,23 +1,27 @@
-"""Stand-ins for network, state service, cloud, workers and users, and the rule checker.
+"""The emulator's models on virtual time, in-process controllers, and a network between them.
 
-Written from the published protocol. Everything random comes from one seed, everything
-happens on virtual time, and the checker looks after every step that could break a rule.
+Everything random comes from one seed, and the checker looks after every step that could break
+a rule.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import contextvars
 import random
-from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
-import orjson
-
 from dunehold.coordination.node import Node
+from dunehold.emulator.agents.outside import CloudAgent, StateAgent, WorkerAgent
+from dunehold.emulator.agents.passages import Passages
+from dunehold.emulator.agents.users import Users
+from dunehold.emulator.check import Breach, Checker
+from dunehold.emulator.history import Event, History
+from dunehold.emulator.model.cloud import Boots, Cloud, Flavour, Kind
+from dunehold.emulator.model.jobs import Jobs
+from dunehold.emulator.model.store import Limits, Store
 from dunehold.settings import (
     Address,
     Objective,
@@ -32,13 +36,9 @@
 
 ZONES = ("north", "south")
 LEASE_S, CANCEL_S, REPORT_S = 10.0, 30.0, 2.0
-TYPES = {"small": (4.0, 16.0, 0.2), "big": (16.0, 64.0, 0.9)}
-Reply = tuple[int, bytes]
-Service = Callable[[str, str, bytes | None, str], Awaitable[Reply]]
-
-
-def dump(value: Any) -> bytes:
-    return orjson.dumps(value)
+TYPES = {"small": (4.0, 16.0, 0.2, 5), "big": (16.0, 64.0, 0.9, 1)}
+Answer = tuple[int, bytes, float]  # with Retry-After
+Service = Callable[[str, str, bytes | None, str], Awaitable[Answer]]
 
 
 class RuleBroken(AssertionError):
@@ -54,61 +54,36 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.services: dict[str, Service] = {}
-        self.zone_of: dict[str, str] = {}
-        # pair of names or zones -> hold, reset, refuse
-        self.cuts: dict[frozenset[str], str] = {}
-        self.healed = asyncio.Event()
-
-    def cut_between(self, a: str, b: str) -> str | None:
-        for x in (a, self.zone_of.get(a, "")):
-            for y in (b, self.zone_of.get(b, "")):
-                mode = self.cuts.get(frozenset((x, y)))
-                if mode is not None and x and y and (x != y):
-                    return mode
-        return None
+        self.passages = Passages()
 
     async def for_a_while(self, a: str, b: str, mode: str, seconds: float) -> None:
-        self.cuts[frozenset((a, b))] = mode
-        await asyncio.sleep(seconds)
-        self.cuts.pop(frozenset((a, b)), None)
-        self.healed.set()
-        self.healed = asyncio.Event()
+        await self.passages.for_a_while(a, b, mode, seconds)
+
+    def place(self, name: str, zone: str) -> None:
+        self.passages.cuts.labels[name] = (zone,)
 
     async def pass_(self, a: str, b: str) -> None:
         """Return when a message from a has reached b."""
         await asyncio.sleep(self.rng.uniform(0.0005, 0.004))
-        while (mode := self.cut_between(a, b)) is not None:
-            if mode == "reset":
-                raise ConnectionResetError
-            if mode == "refuse":
-                raise ConnectionRefusedError
-            await self.healed.wait()
-
-    async def call(self, a: str, b: str, method: str, target: str, body: bytes | None) -> Reply:
+        await self.passages.through(a, b)
+
+    async def call(
+        self, a: str, b: str, method: str, target: str, body: bytes | None
+    ) -> Answer:
         await self.pass_(a, b)
         service = self.services.get(b)
         if service is None:
             raise ConnectionRefusedError
-        reply = await service(method, target, body, a)
+        answer = await service(method, target, body, a)
         await self.pass_(b, a)
-        return reply
-
-
-@dataclass
-class FakeClient:
-    """As HttpClient, but what was sent goes on its way though nobody waits any more."""
+        return answer
 
-    network: Network
-    source: str
-    target: str
-
-    async def request(
-        self, method: str, target: str, body: bytes | None, timeout_s: float
-    ) -> Reply:
+    async def ask(
+        self, a: str, b: str, method: str, target: str, body: bytes | None, timeout_s: float
+    ) -> Answer:
         # What is on its way goes on, whatever becomes of the process that sent it.
         call = asyncio.get_running_loop().create_task(
-            self.network.call(self.source, self.target, method, target, body),
-            context=NOBODY.copy(),
+            self.call(a, b, method, target, body), context=NOBODY.copy()
         )
         call.add_done_callback(lambda task: task.cancelled() or task.exception())
         try:
@@ -118,519 +93,70 @@
         except (OSError, TimeoutError) as error:
             raise NoResponse(str(error)) from None
 
-    def close(self) -> None:
-        pass
+    async def request(
+        self,
+        source: str,
+        target: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
+        return (await self.ask(source, target, method, path, body, timeout_s))[:2]
 
 
-# -- state service -----------------------------------------------------------------------
+@dataclass
+class FakeClient:
+    """As HttpClient, but what was sent goes on its way though nobody waits any more."""
 
+    network: Network
+    source: str
+    target: str
 
-class StateService:
-    def __init__(self) -> None:
-        self.keys: dict[str, tuple[Any, int, int | None]] = {}
-        self.revision = 0
-        self.log: list[tuple[int, str, Any, bool]] = []
-        self.leases: dict[int, tuple[float, float]] = {}  # id -> (life, ends)
-        self.next_lease = 1
-        self.down = False
-        self.refused: set[str] = set()  # nodes that alone get 503
-        self.changed = asyncio.Event()
+    async def request(
+        self, method: str, target: str, body: bytes | None, timeout_s: float
+    ) -> tuple[int, bytes]:
+        return await self.network.request(
+            self.source, self.target, method, target, body, timeout_s
+        )
 
-    def _now(self) -> float:
-        return asyncio.get_running_loop().time()
+    def close(self) -> None:
+        pass
 
-    def _expire(self) -> None:
-        if self.down:
-            return
-        for lease in [i for i, (_, ends) in self.leases.items() if ends < self._now()]:
-            self._end_lease(lease)
 
-    def _end_lease(self, lease: int) -> None:
-        del self.leases[lease]
-        for key in [k for k, (_, _, held) in self.keys.items() if held == lease]:
-            self.revision += 1
-            del self.keys[key]
-            self._record(self.revision, key, None, True)
+# -- the state service and the cloud, with the faults that the tests ask for --------------
 
-    def _record(self, revision: int, key: str, value: Any, deleted: bool) -> None:
-        self.log.append((revision, key, value, deleted))
-        self.changed.set()
-        self.changed = asyncio.Event()
 
+class StateService(StateAgent):
     async def outage(self, seconds: float) -> None:
-        self.down = True
+        self.store.begin_outage()
         await asyncio.sleep(seconds)
-        self.down = False
-        now = self._now()
-        self.leases = {i: (life, now + life) for i, (life, _) in self.leases.items()}
+        self.store.end_outage(asyncio.get_running_loop().time())
+        self.poke()
 
     async def refuse(self, node: str, seconds: float) -> None:
-        self.refused.add(node)
+        """The node alone gets 503, in whichever life."""
+        names = {node, *(f"{node}#{life}" for life in range(50))}
+        self.store.refused |= names
         await asyncio.sleep(seconds)
-        self.refused.discard(node)
-
-    async def handle(self, method: str, target: str, body: bytes | None, source: str) -> Reply:
-        if self.down or source.split("#")[0] in self.refused:
-            return 503, b"{}"
-        self._expire()
-        path, _, rest = target.partition("?")
-        query = dict(part.split("=", 1) for part in rest.split("&") if part)
-        if path == "/txn":
-            return self._txn(orjson.loads(body or b"{}"))
-        if path == "/leases":
-            lease, self.next_lease = self.next_lease, self.next_lease + 1
-            life = orjson.loads(body or b"{}")["life_ms"] / 1000
-            self.leases[lease] = (life, self._now() + life)
-            return 200, dump({"grant": lease})
-        if path.startswith("/leases/"):
-            lease = int(path.split("/")[2])
-            if lease not in self.leases:
-                return 404, b"{}"
-            if method == "DELETE":
-                self._end_lease(lease)
-            else:
-                life = self.leases[lease][0]
-                self.leases[lease] = (life, self._now() + life)
-            return 200, b"{}"
-        if path == "/store":
-            found = sorted(k for k in self.keys if k.startswith(query["starts"]))
-            found = [k for k in found if k > query.get("after", "")]
-            rows = [{"path": k, "v": self.keys[k][0], "stamp": self.keys[k][1]} for k in found]
-            return 200, dump(
-                {"entries": rows[:50], "more": len(rows) > 50, "epoch": self.revision}
-            )
-        if path == "/changes":
-            return await self._changes(query)
-        return 400, b"{}"
-
-    def _txn(self, row: dict[str, Any]) -> Reply:
-        failed = [
-            g["path"]
-            for g in row["guards"]
-            if self.keys.get(g["path"], (None, 0, None))[1] != g["stamp"]
-        ]
-        for write in row["writes"]:
-            if write.get("grant") is not None and write["grant"] not in self.leases:
-                return 400, dump({"error": "no such lease"})
-            if len(dump(write.get("v"))) > 4096:
-                return 400, dump({"error": "too large"})
-        if len(row["writes"]) > 12 or len(row["guards"]) > 48:
-            return 400, dump({"error": "too many"})
-        if failed:
-            return 409, dump({"failed": failed, "epoch": self.revision})
-        if row["writes"]:
-            self.revision += 1
-        for write in row["writes"]:
-            if "put" in write:
-                self.keys[write["put"]] = (write["v"], self.revision, write.get("grant"))
-                self._record(self.revision, write["put"], write["v"], False)
-            elif self.keys.pop(write["drop"], None) is not None:
-                self._record(self.revision, write["drop"], None, True)
-        return 200, dump({"epoch": self.revision})
-
-    async def _changes(self, query: dict[str, str]) -> Reply:
-        after, ends = int(query["after"]), self._now() + int(query["hold_ms"]) / 1000
-        while True:
-            self._expire()
-            news = [entry for entry in self.log if entry[0] > after]
-            left = ends - self._now()
-            if (news and not self.down) or left <= 1e-6:
-                break
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.changed.wait(), min(left, 0.2))
-        rows = [
-            {"drop": key, "stamp": revision}
-            if deleted
-            else {"put": key, "v": value, "stamp": revision}
-            for revision, key, value, deleted in news
-        ]
-        return 200, dump({"epoch": self.revision, "news": rows})
-
-
-# -- workers -----------------------------------------------------------------------------
-
-
-@dataclass
-class WorkerTask:
-    item: str
-    attempt: int
-    phase: str
-    cause: str | None = None
-    on_machine: bool = False
-
-
-class Worker:
-    def __init__(self, world: World, name: str, kind: str, zone: str, spot: bool) -> None:
-        self.world, self.name, self.kind, self.zone, self.spot = world, name, kind, zone, spot
-        self.session, self.sequence, self.token = 1, 0, 0
-        self.tasks: dict[tuple[str, int], WorkerTask] = {}
-        self.lease_from = world.now()
-        self.sick = False
-        self.speed = world.rng.uniform(0.9, 1.1)
-        self.hung_until = 0.0
-        self.taken_at: float | None = None  # the end of its notice
-        self.gone = False
-        self.wake = asyncio.Event()
-        self.node = world.rng.randrange(len(world.nodes))
-        self.images: set[str] = set()
-        world.network.zone_of[name] = zone
-        world.network.services[name] = self.handle
-        world.spawn(self._reports())
-        world.spawn(self._lease())
-
-    async def _hang(self) -> None:
-        while self.world.now() < self.hung_until:
-            await asyncio.sleep(self.hung_until - self.world.now() + 0.001)
-
-    async def _lease(self) -> None:
-        while not self.gone:
-            await asyncio.sleep(0.1)
-            # A hanging machine resumes within its lease or not at all.
-            if self.world.now() - self.lease_from > LEASE_S:
-                self.world.killed += sum(task.on_machine for task in self.tasks.values())
-                for task in list(self.tasks.values()):
-                    self._off(task)
-                self.tasks.clear()
-                self.session += 1
-                self.lease_from = self.world.now()
-                self.wake.set()
-
-    def _off(self, task: WorkerTask) -> None:
-        if task.on_machine:
-            task.on_machine = False
-            self.world.checker.left(task.item, self)
-
-    def vanish(self) -> None:
-        self.gone = True
-        self.world.lost += sum(task.on_machine for task in self.tasks.values())
-        for task in self.tasks.values():
-            self._off(task)
-        self.tasks.clear()
-        self.world.network.services.pop(self.name, None)
-
-    def report(self) -> dict[str, Any]:
-        self.sequence += 1
-        rows = []
-        for task in self.tasks.values():
-            row: dict[str, Any] = {"item": task.item, "try": task.attempt, "phase": task.phase}
-            if task.cause:
-                row["cause"] = task.cause
-            rows.append(row)
-        return {
-            "host": self.name,
-            "address": f"{self.name}:9000",
-            "flavour": self.kind,
-            "hall": self.zone,
-            "loaner": self.spot,
-            "tenure": self.session,
-            "tally": self.sequence,
-            "baton": self.token,
-            "reclaim_s": None if self.taken_at is None else self.taken_at - self.world.now(),
-            "units": rows,
-        }
+        self.store.refused -= names
 
-    async def _reports(self) -> None:
-        world = self.world
-        while not self.gone:
-            await self._hang()
-            sent, session = world.now(), self.session
-            body = dump(self.report())
-            node = world.nodes[self.node]
-            client = FakeClient(world.network, self.name, node.name)
-            pause = REPORT_S * world.rng.uniform(0.75, 1.25)
-            try:
-                status, data = await client.request("POST", "/v1/report", body, 4.0)
-            except NoResponse:
-                status, data = 0, b""
-            await self._hang()
-            if self.gone:
-                return
-            if status == 200:
-                reply = orjson.loads(data)
-                if reply["baton"] >= self.token and session == self.session:
-                    self.token = reply["baton"]
-                    if world.now() - sent <= 4.0:
-                        self.lease_from = max(self.lease_from, sent)
-                        self.execute(reply["orders"])
-            else:
-                named = orjson.loads(data).get("steward") if status == 421 else None
-                names = [n.name for n in world.nodes]
-                if named in names and names.index(named) != self.node:
-                    self.node = names.index(named)
-                    continue
-                self.node = (self.node + 1) % len(names)
-                pause = 1.0
-            try:
-                await asyncio.wait_for(self.wake.wait(), pause)
-                await asyncio.sleep(max(0.0, sent + 0.5 - world.now()))
-            except TimeoutError:
-                pass
-            self.wake.clear()
-
-    async def handle(self, method: str, target: str, body: bytes | None, source: str) -> Reply:
-        await self._hang()
-        if self.gone:
-            raise ConnectionResetError
-        if target == "/status":
-            return 200, dump(self.report())
-        row = orjson.loads(body or b"{}")
-        if row["baton"] > self.token:
-            self.token = row["baton"]
-            self.wake.set()
-        if row["baton"] < self.token or row["tenure"] != self.session:
-            return 409, dump(self.report())
-        self.execute(row["orders"])
-        return 200, dump(self.report())
-
-    def execute(self, orders: list[dict[str, Any]]) -> None:
-        for order in orders:
-            key = (order["item"], order["try"])
-            task = self.tasks.get(key)
-            if order["verb"] == "run" and task is None:
-                self._start(*key)
-            elif order["verb"] == "stop" and task is not None and task.phase != "ended":
-                self._end(task, "halted")
-            elif order["verb"] == "reap" and task is not None and task.phase == "ended":
-                del self.tasks[key]
-
-    def _start(self, item: str, attempt: int) -> None:
-        task = WorkerTask(item, attempt, "pulling")
-        self.tasks[item, attempt] = task
-        busy = any(
-            t.item == item and t.phase != "ended" and t is not task for t in self.tasks.values()
-        )
-        job = self.world.jobs[item.split("/")[0]]
-        used = sum(
-            self.world.jobs[t.item.split("/")[0]]["vcpus"]
-            for t in self.tasks.values()
-            if t.phase != "ended"
-        )
-        if busy:
-            self._end(task, "in_use")
-        elif used > TYPES[self.kind][0]:
-            self._end(task, "no_room")
-        else:
-            self.world.spawn(self._run(task, job, self.session))
-
-    async def _run(self, task: WorkerTask, job: dict[str, Any], session: int) -> None:
-        def over() -> bool:
-            return self.gone or session != self.session or task.phase == "ended"
-
-        if job["bundle"] not in self.images:
-            await asyncio.sleep(self.world.rng.uniform(0.5, 3.0))
-            await self._hang()
-            self.images.add(job["bundle"])
-        if over():
-            return
-        task.phase = "running"
-        task.on_machine = True
-        self.world.checker.started(task.item, self)
-        self.wake.set()
-        if self.sick or job.get("broken"):
-            await asyncio.sleep(0.3)
-            if not over():
-                self._end(task, "error")
-            return
-        done = (job["uid"], int(task.item.split("/")[1])) in self.world.completed
-        await asyncio.sleep(0.0 if done else job["real_s"] / self.speed)
-        await self._hang()
-        if not over():
-            self.world.completed.add((job["uid"], int(task.item.split("/")[1])))
-            self._end(task, "done")
-
-    def _end(self, task: WorkerTask, cause: str) -> None:
-        self._off(task)
-        self.world.errors += cause == "error"
-        task.phase, task.cause = "ended", cause
-        self.wake.set()
-
-
-# -- cloud -------------------------------------------------------------------------------
-
-
-class Cloud:
-    def __init__(self, world: World) -> None:
-        self.world = world
-        self.workers: dict[str, Worker] = {}
-        self.booting: dict[str, tuple[str, str, bool, float]] = {}
-        self.failed: dict[str, tuple[str, str, bool, float]] = {}
-        self.rentals: dict[str, list[str]] = {}
-        self.count = 0
-        self.dead_boots, self.boot_times = 0.03, (0.5, 6.0, 8.0, 10.0, 20.0)
-        self.lag_s = 0.0  # lists are up to twice as old
-        self._lists: deque[tuple[float, list[dict[str, Any]]]] = deque(maxlen=200)
-        self.capacity = {("small", z, s): 5 for z in ZONES for s in (True, False)}
-        self.capacity |= {("big", z, s): 1 for z in ZONES for s in (True, False)}
-
-    async def handle(self, method: str, target: str, body: bytes | None, source: str) -> Reply:
-        row = orjson.loads(body) if body else {}
-        if target == "/flavors":
-            rows = [
-                {"label": name, "vcpus": cpus, "gpus": 0, "memory_gb": memory, "cache_gb": 20,
-                 "fetch_gb_per_s": 0.5, "price": price, "spot_price": price / 3, "boot_s": 8.0,
-                 "halls": list(ZONES)}
-                for name, (cpus, memory, price) in TYPES.items()
-            ]  # fmt: skip
-            return 200, dump({"flavours": rows})
-        if target == "/hosts":
-            return self._rent(row)
-        if target == "/hosts/delete":
-            for name in row["hosts"]:
-                self.remove(name)
-            return 200, b"{}"
-        return 200, dump({"hosts": self._old_list(), "more": False})
-
-    async def lag(self) -> None:
-        while True:
-            self._lists.append((self.world.now(), self._list()))
-            await asyncio.sleep(0.5)
-
-    def _old_list(self) -> list[dict[str, Any]]:
-        before = self.world.now() - self.world.rng.uniform(0.0, 2.0) * self.lag_s
-        old = [rows for at, rows in self._lists if at <= before]
-        return old[-1] if old and self.lag_s else self._list()
-
-    def _kind(self, name: str) -> tuple[str, str, bool] | None:
-        worker = self.workers.get(name)
-        if worker is not None:
-            return worker.kind, worker.zone, worker.spot
-        found = self.booting.get(name) or self.failed.get(name)
-        return found[:3] if found else None
 
+class Machines(CloudAgent):
     def remove(self, name: str, failed: bool = False) -> None:
-        kind = self._kind(name)
-        if kind is None:
-            return
-        self.capacity[kind] += 1
-        self.booting.pop(name, None)
-        self.failed.pop(name, None)
-        worker = self.workers.pop(name, None)
-        if worker is not None:
-            worker.vanish()
+        now = asyncio.get_running_loop().time()
         if failed:
-            self.capacity[kind] -= 1
-            self.failed[name] = (*kind, self.world.now())
+            self.cloud.fail(name, now)
+        else:
+            self.cloud.delete([name], now)
+        self.after()
 
     async def take_back(self, name: str, notice_s: float) -> None:
-        worker = self.workers[name]
-        worker.taken_at = self.world.now() + notice_s
-        worker.wake.set()
+        with self.workers[name].touched() as worker:
+            worker.notice(asyncio.get_running_loop().time(), notice_s)
         await asyncio.sleep(notice_s)
         self.remove(name)
 
-    def _rent(self, row: dict[str, Any]) -> Reply:
-        if row["rental"] in self.rentals:
-            return 200, dump({"hosts": self.rentals[row["rental"]]})
-        kind = (row["flavour"], row["hall"], row["loaner"])
-        number = min(row["number"], self.capacity[kind])
-        if number <= 0:
-            return 503, dump({"error": "no capacity"})
-        self.capacity[kind] -= number
-        names = []
-        for _ in range(number):
-            self.count += 1
-            name = f"m-{self.count:06d}"
-            names.append(name)
-            self.booting[name] = (*kind, self.world.now())
-            self.world.spawn(self._boot(name))
-        self.rentals[row["rental"]] = names
-        return 200, dump({"hosts": names})
-
-    async def _boot(self, name: str) -> None:
-        if self.world.rng.random() < self.dead_boots:
-            return  # it never comes up
-        await asyncio.sleep(self.world.rng.choice(self.boot_times))
-        kind = self.booting.pop(name, None)
-        if kind is not None:
-            self.workers[name] = Worker(self.world, name, *kind[:3])
-
-    def _list(self) -> list[dict[str, Any]]:
-        rows = []
-        for name in sorted({*self.workers, *self.booting, *self.failed}):
-            kind = self._kind(name)
-            assert kind is not None
-            phase = "running" if name in self.workers else "booting"
-            phase = "failed" if name in self.failed else phase
-            rows.append(
-                {"uid": name, "address": f"{name}:9000", "flavour": kind[0], "hall": kind[1],
-                 "loaner": kind[2], "phase": phase, "held_s": 1.0}
-            )  # fmt: skip
-        return rows
-
-
-# -- rules -------------------------------------------------------------------------------
-
-
-@dataclass
-class Checker:
-    """The rules of the protocol, looked at after each step."""
-
-    world: World
-    on: dict[str, list[Worker]] = field(default_factory=dict)
-    cancelled_at: dict[str, float] = field(default_factory=dict)
-    told: dict[str, str] = field(default_factory=dict)
-    starts: int = 0
-
-    def broken(self, rule: str, detail: str) -> None:
-        text = f"{rule} at {self.world.now():.2f}: {detail}"
-        self.world.broken.append(text)
-
-    def started(self, item: str, worker: Worker) -> None:
-        self.starts += 1
-        if self.on.get(item):
-            where = [w.name for w in self.on[item]]
-            self.broken("ran_twice", f"{item} on {worker.name} and {where}")
-        self.on.setdefault(item, []).append(worker)
-        uid = item.split("/")[0]
-        job = self.world.jobs[uid]
-        limit = self.world.limits[job["owner"]]
-        use = sum(
-            self.world.jobs[i.split("/")[0]]["vcpus"] * len(ws)
-            for i, ws in self.on.items()
-            if self.world.jobs[i.split("/")[0]]["owner"] == job["owner"]
-        )
-        if limit and use > limit:
-            self.broken("quota", f"{job['owner']} uses {use} of {limit}")
-        if job["flavours"] and worker.kind not in job["flavours"]:
-            self.broken("wrong_place", f"{item} on {worker.kind}")
-        if (job["hall"] and worker.zone != job["hall"]) or (worker.spot and not job["loaner"]):
-            self.broken("wrong_place", f"{item} on {worker.name}")
-        zones = [w.zone for i, ws in self.on.items() if i.split("/")[0] == uid for w in ws]
-        if job["together"] and len(set(zones)) > 1:
-            self.broken("wrong_place", f"{item}: in two zones")
-        if job["spread"] and zones.count(worker.zone) > (job["units"] + 1) // 2:
-            self.broken("wrong_place", f"{item}: too many in {worker.zone}")
-        ended = self.cancelled_at.get(uid)
-        if ended is not None and self.world.now() > ended + CANCEL_S:
-            self.broken("ran_cancelled", f"{item} starts")
-
-    def left(self, item: str, worker: Worker) -> None:
-        places = self.on[item]
-        places.remove(worker)
-        if not places:
-            del self.on[item]
-
-    def step(self) -> None:
-        now = self.world.now()
-        for item in self.on:
-            ended = self.cancelled_at.get(item.split("/")[0])
-            if ended is not None and now > ended + CANCEL_S:
-                self.broken("ran_cancelled", f"{item} still runs")
-
-    def answer(self, uid: str, phase: str) -> None:
-        before = self.told.get(uid)
-        if before in ("done", "cancelled") and phase != before:
-            self.broken("went_back", f"{uid}: {before}, then {phase}")
-        if phase == "done":
-            units = self.world.jobs[uid]["units"]
-            if any((uid, n) not in self.world.completed for n in range(units)):
-                self.broken("not_done", uid)
-        if phase == "cancelled":
-            if uid not in self.world.cancel_asked:
-                self.broken("went_back", f"{uid} was never cancelled by its user")
-            self.cancelled_at.setdefault(uid, self.world.now())
-        self.told[uid] = phase
-
 
 # -- the world ---------------------------------------------------------------------------
 
@@ -645,13 +171,13 @@
         self.task: asyncio.Task[None] | None = None
         self.context = contextvars.Context()
         self.context.run(OWNER.set, self)
-        world.network.zone_of[self.name] = ZONES[index % 2]
+        world.network.place(self.name, ZONES[index % 2])
 
     def boot(self) -> None:
         self.life += 1
         source = f"{self.name}#{self.life}"
         network = self.world.network
-        network.zone_of[source] = network.zone_of[self.name]
+        network.place(source, ZONES[self.index % 2])
 
         def connect(host: str, port: int, links: int) -> FakeClient:
             return FakeClient(network, source, host)
@@ -668,7 +194,9 @@
         self.task = loop.create_task(self.node.act(), context=self.context)
         network.services[self.name] = self._handle
 
-    async def _handle(self, method: str, target: str, body: bytes | None, source: str) -> Reply:
+    async def _handle(
+        self, method: str, target: str, body: bytes | None, source: str
+    ) -> Answer:
         node = self.node
         if node is None:
             raise ConnectionRefusedError
@@ -678,7 +206,7 @@
         response = await loop.create_task(serve(request), context=self.context)
         if self.node is not node:
             raise ConnectionResetError
-        return response.status, response.body
+        return response.status, response.body, float(response.retry_after or 0)
 
     def crash(self) -> None:
         self.world.network.services.pop(self.name, None)
@@ -709,32 +237,90 @@
         self.rng = random.Random(seed)
         self.tamper = tamper
         self.network = Network(self.rng)
-        self.state = StateService()
-        self.jobs: dict[str, dict[str, Any]] = OrderedDict()
         self.limits = {"blue": 24.0, "red": 0.0, "guest": 0.0}
         self.broken_share = 0.0  # of the jobs, submitted with a mistake
         self.guests = 0.0  # share of jobs that are a guest's: wide, of low rank
-        self.asks_every = 5.0
-        self.errors = 0  # tasks that failed
         self.waited = 0.0  # seconds that something took
         self.kept = 1.0  # share of the machines, over some trouble
-        self.completed: set[tuple[str, int]] = set()
-        self.cancel_asked: set[str] = set()
-        self.broken: list[str] = []
-        self.seen_running = 0
-        self.lost = 0  # tasks on machines that went away
-        self.killed = 0  # tasks on machines whose lease ran out
-        self.checker = Checker(self)
+        self.broken: list[Breach | str] = []
         self._spawned: set[asyncio.Task[Any]] = set()
-        self.network.services["state"] = self.state.handle
+        self.history = History(self.now, keep=False, listeners=[self._seen])
+        self.checker = Checker(
+            {team: (most or None, None) for team, most in self.limits.items()},
+            CANCEL_S,
+            self.broken,  # type: ignore[arg-type]
+        )
+        self.errors = 0  # tasks that failed
+        self.state = StateService(Store(Limits(None, None, 4096, 12)))
+        self.network.services["state"] = self._served(self.state.handle)
         self.nodes = [NodeBox(self, index) for index in range(nodes)]
-        self.cloud = Cloud(self)
-        self.network.services["cloud"] = self.cloud.handle
+        self.jobs = Jobs(self.rng)
+        self.cloud = self._cloud()
+        self.network.services["cloud"] = self._served(self.cloud.handle)
+        self.users = Users(self, self.history, self.rng)
+
+    def _cloud(self) -> Machines:
+        flavours = {
+            name: Flavour(name, cpus, memory, price, price / 3, 8.0, ZONES, 0.0, 20.0, 0.5)
+            for name, (cpus, memory, price, _) in TYPES.items()
+        }
+        capacity = {
+            Kind(name, zone, spot): row[3]
+            for name, row in TYPES.items()
+            for zone in ZONES
+            for spot in (True, False)
+        }
+        cloud = Cloud(flavours, capacity, self.rng, lambda number: f"m-{number:06d}:9000")
+        cloud.boots = Boots(dead=0.03, late=0.1, late_times=2.5, at_once=0.1)
+        names = [node.name for node in self.nodes]
+        machines = Machines(
+            cloud, self.jobs, names, self.network, self.history, self.rng, REPORT_S, LEASE_S
+        )
+        machines.up, machines.gone = self._up, self._gone
+        return machines
+
+    def _up(self, agent: WorkerAgent) -> None:
+        machine = agent.worker.machine
+        self.network.place(machine.name, machine.hall)
+        self.network.services[machine.name] = self._served(agent.handle)
+
+    def _gone(self, name: str) -> None:
+        self.network.services.pop(name, None)
+
+    @staticmethod
+    def _served(handle: Any) -> Service:
+        async def serve(method: str, target: str, body: bytes | None, source: str) -> Answer:
+            status, data = await handle(method, target, body, source)
+            return status, data, 0.0
+
+        return serve
+
+    def _seen(self, event: Event) -> None:
+        self.errors += event.kind == "off" and event.data["why"] == "error"
+        self.checker.feed(event)
 
     @staticmethod
     def now() -> float:
         return asyncio.get_running_loop().time()
 
+    @property
+    def killed(self) -> int:
+        """Tasks on machines whose lease ran out."""
+        return self.cloud.killed
+
+    @property
+    def lost(self) -> int:
+        """Tasks on machines that went away."""
+        return self.cloud.lost
+
+    @property
+    def told(self) -> dict[str, str]:
+        return self.users.final
+
+    @property
+    def made(self) -> list[dict[str, Any]]:
+        return list(self.jobs.rows.values())
+
     def spawn(self, work: Awaitable[Any]) -> None:
         task = asyncio.ensure_future(work)
         self._spawned.add(task)
@@ -826,69 +412,22 @@
             "real_s": real_s,
         }  # fmt: skip
 
-    async def user(self, job: dict[str, Any], cancel_after: float | None) -> None:
-        uid = job["uid"]
-        body = {k: v for k, v in job.items() if k not in ("real_s", "broken")}
-        if job.get("broken"):
-            cancel_after = cancel_after or 60.0
-        if job["shape"] == "standing":
-            cancel_after = cancel_after or 30.0
-        self.jobs[uid] = job
-        status, _ = await self._ask("POST", "/v1/jobs", dump(body), (200, 201), 60.0)
-        if status not in (200, 201):
-            return
-        self.told.setdefault(uid, "queued")
-        if cancel_after is not None:
-            await asyncio.sleep(cancel_after)
-            self.cancel_asked.add(uid)
-            status, row = await self._ask("POST", f"/v1/jobs/{uid}/cancel", b"", (200,), 90.0)
-            if status == 200:
-                self.checker.answer(uid, row["phase"])
-        while True:
-            await asyncio.sleep(self.asks_every * self.rng.uniform(0.8, 1.2))
-            status, row = await self._ask("GET", f"/v1/jobs/{uid}", None, (200, 404), 2.0)
-            if status == 404:
-                self.checker.broken("forgotten", uid)
-            elif status == 200:
-                self.checker.answer(uid, row["phase"])
-                self.seen_running += row["phase"] == "running"
-
-    @property
-    def told(self) -> dict[str, str]:
-        return self.checker.told
+    async def ask(self, method: str, path: str, body: bytes | None, timeout_s: float) -> Answer:
+        """Any node will do (``Door``)."""
+        node = self.rng.choice(self.nodes)
+        return await self.network.ask("users", node.name, method, path, body, timeout_s)
 
-    async def stranger(self) -> None:
-        """Asks about jobs that nobody has submitted."""
-        while True:
-            await asyncio.sleep(7.0)
-            status, _ = await self._ask("GET", "/v1/jobs/job-999999", None, (200, 404), 2.0)
-            if status == 200:
-                self.checker.broken("invented", "job-999999")
-
-    async def _ask(
-        self, method: str, path: str, body: bytes | None, good: tuple[int, ...], patience: float
-    ) -> tuple[int, dict[str, Any]]:
-        ends = self.now() + patience
-        status, data = 0, b""
-        while True:
-            node = self.rng.choice(self.nodes)
-            client = FakeClient(self.network, "users", node.name)
-            try:
-                status, data = await client.request(method, path, body, 5.0)
-            except NoResponse:
-                status = 0
-            if status in good:
-                return status, orjson.loads(data)
-            if status in (400, 422) or self.now() >= ends:
-                return status, {}
-            await asyncio.sleep(1.0)
+    def _cancel_after(self, job: dict[str, Any], drawn: float | None) -> float | None:
+        if job.get("broken"):
+            return drawn or 60.0
+        return drawn or 30.0 if job["shape"] == "standing" else drawn
 
     # -- running -------------------------------------------------------------------------
 
     async def watch_rules(self) -> None:
         while True:
             await asyncio.sleep(0.25)
-            self.checker.step()
+            self.checker.step(self.now())
             if self.broken:
                 return
 
@@ -897,8 +436,9 @@
         while self.now() < until:
             number += 1
             job = self.make_job(number)
-            cancel = self.rng.uniform(1.0, 30.0) if self.rng.random() < 0.2 else None
-            self.spawn(self.user(job, cancel))
+            self.jobs.upload(job)
+            drawn = self.rng.uniform(1.0, 30.0) if self.rng.random() < 0.2 else None
+            self.spawn(self.users.live(job, self._cancel_after(job, drawn)))
             await asyncio.sleep(self.rng.expovariate(0.4))
 
     async def play(
@@ -906,8 +446,9 @@
     ) -> None:
         for node in self.nodes:
             node.boot()
-        self.spawn(self.stranger())
-        self.spawn(self.cloud.lag())
+        self.spawn(self.users.stranger(7.0))
+        self.spawn(self.cloud.run())
+        self.spawn(self.state.run())
         self.spawn(self.arrivals(busy_s))
         self.spawn(faults(self))
         checking = asyncio.ensure_future(self.watch_rules())
@@ -916,4 +457,4 @@
         for node in self.nodes:
             node.crash()
         if self.broken:
-            raise RuleBroken("; ".join(self.broken[:3]))
+            raise RuleBroken("; ".join(map(str, self.broken[:3])))
