--- a/dunehold/cli.py
+++ b/dunehold/cli.py
@@ -16,7 +16,7 @@
 
 OPERATOR_FILE = Path(__file__).resolve().parent.parent / "deploy" / "operator.sexp"
 EXIT_FAILED, EXIT_USAGE = 1, 2
-EMULATOR_COMMANDS = ("up", "emulate", "fault", "check-history")
+EMULATOR_COMMANDS = ("up", "emulate", "experiment", "fault", "check-history")
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
--- a/dunehold/emulator/agents/users.py
+++ b/dunehold/emulator/agents/users.py
@@ -62,6 +62,7 @@
         if answer.status in (400, 422):
             self.history.add("refused", uid=uid, status=answer.status)
         if answer.status not in (200, 201):
+            self.history.add("gave_up", uid=uid, status=answer.status)
             return
         self.history.add("accepted", uid=uid, status=answer.status, asked=began)
         if cancel_after_s is not None:
--- a/dunehold/emulator/check.py
+++ b/dunehold/emulator/check.py
@@ -43,6 +43,7 @@
     row: dict[str, Any]
     accepted_at: float | None = None
     refused: bool = False
+    given_up: bool = False
     cancel_asked: bool = False
     final: str | None = None
     final_at: float = 0.0
@@ -118,6 +119,11 @@
         elif job is not None:
             job.refused = True
 
+    def _gave_up(self, data: dict[str, Any]) -> None:
+        job = self.jobs.get(data["uid"])
+        if job is not None:
+            job.given_up = True
+
     def _cancel(self, data: dict[str, Any]) -> None:
         job = self.jobs.get(data["uid"])
         if job is not None:
@@ -269,6 +275,7 @@
     "told": Checker._told,
     "missing": Checker._missing,
     "silent": Checker._silent,
+    "gave_up": Checker._gave_up,
     "cancel": Checker._cancel,
     "on": Checker._on,
     "off": Checker._off,
--- a/dunehold/emulator/commands.py
+++ b/dunehold/emulator/commands.py
@@ -47,6 +47,10 @@
         command.add_argument(
             "--net", type=int, default=77, help="addresses 127.NET.*.* are used (default 77)"
         )
+    experiment = commands.add_parser("experiment", help="play a grid of settings, with repeats")
+    experiment.add_argument("plan", type=Path, help="plan file (TOML)")
+    experiment.add_argument("--directory", type=Path, default=None, help="for the report")
+    experiment.add_argument("--net", type=int, default=77, help="as for emulate")
     fault = commands.add_parser("fault", help="cause a fault in a running emulator")
     fault.add_argument("what", help="a fault as JSON, such as " + '\'{"kind":"state",...}\'')
     fault.add_argument("--control", default=None, help="HOST:PORT of its control interface")
@@ -56,7 +60,13 @@
 
 
 def run(options: argparse.Namespace) -> int:
-    how = {"up": _up, "emulate": _emulate, "fault": _fault, "check-history": _check}
+    how = {
+        "up": _up,
+        "emulate": _emulate,
+        "experiment": _experiment,
+        "fault": _fault,
+        "check-history": _check,
+    }
     try:
         return how[options.command](options)
     except (ScenarioError, ClusterError) as error:
@@ -171,6 +181,31 @@
         return await player.run()
 
 
+def _experiment(options: argparse.Namespace) -> int:
+    from rich.progress import track
+
+    from dunehold.emulator import experiment as experiments
+    from dunehold.emulator import report
+
+    plan, points = experiments.load(options.plan)
+    directory = _directory(options)
+    directory.mkdir(parents=True, exist_ok=True)
+    experiment = experiments.Experiment(plan, points, directory, _net(options))
+    rounds = track(
+        experiment.rounds(), plan.name, total=len(points) * plan.repeats,
+        disable=not sys.stderr.isatty(),
+    )  # fmt: skip
+    try:
+        for line in rounds:
+            print(line, flush=True)
+    except KeyboardInterrupt:
+        print("ended early", file=sys.stderr)
+    if not experiment.done:
+        return EXIT_FAILED
+    print(f"report: {report.write(experiment)}")
+    return 0 if all(done.result.good for done in experiment.done) else EXIT_FAILED
+
+
 def _check(options: argparse.Namespace) -> int:
     scenario = load(options.scenario)
     limits = {t.name: (t.cpus_max or None, t.gpus_max or None) for t in scenario.teams}
--- a/dunehold/emulator/history.py
+++ b/dunehold/emulator/history.py
@@ -19,6 +19,7 @@
     | ``job`` | uid, job: made by its user, before the first try |
     | ``accepted`` | uid, status, asked |
     | ``refused`` | uid, status: 400 or 422 |
+    | ``gave_up`` | uid, status: never heard that it is accepted |
     | ``told`` | uid, phase, asked: when the question was sent |
     | ``missing`` | uid, asked: 404 |
     | ``silent`` | uid: neither 200 nor 404 |
--- /dev/null
+++ b/dunehold/emulator/measure.py
@@ -0,0 +1,140 @@
+"""What one machine can emulate: store operations and workers' reports a second.
+
+``python -m dunehold.emulator.measure store|reports`` measures the emulator against load of its
+own, with no controllers, so that it is known where it, and not the service, is the limit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+import orjson
+from numpy.random import default_rng
+
+from dunehold.emulator.agents.outside import WorkerAgent
+from dunehold.emulator.agents.passages import Passages
+from dunehold.emulator.history import History
+from dunehold.emulator.model.jobs import Jobs
+from dunehold.emulator.model.worker import Machine, Worker
+from dunehold.emulator.scenario import DEFAULT, Scenario, parse
+from dunehold.emulator.serve import written
+from dunehold.emulator.serve.places import Places
+from dunehold.emulator.serve.processes import Child, end_quietly, own_usage, raise_file_limit
+from dunehold.emulator.serve.sockets import SocketCarrier
+from dunehold.transport.http import HttpClient, HttpServer, NoResponse, Request, Response
+
+SECONDS, NET = 5.0, 97
+
+
+def _scenario(unlimited: bool) -> Scenario:
+    scenario = parse(DEFAULT, "built in")
+    state = msgspec.structs.replace(scenario.state, unlimited=unlimited)
+    return msgspec.structs.replace(scenario, state=state)
+
+
+async def _store(unlimited: bool, writes: bool, links: int = 16) -> tuple[float, float]:
+    """Operations answered with 200, and refused with 429, a second."""
+    scenario = _scenario(unlimited)
+    places = Places(NET, written.node_names(scenario))
+    with tempfile.TemporaryDirectory() as name:
+        path = written.write_state(scenario, places, Path(name))
+        child = Child(
+            "state", ["-m", "dunehold.emulator.serve.state", str(path)], Path(name) / "log"
+        )
+        running = asyncio.ensure_future(child.run())
+        client = HttpClient(places.state.host, places.state.port, links)
+        await _answering(client)
+        counts = {200: 0, 404: 0, 429: 0}
+        ends = time.monotonic() + SECONDS
+
+        async def ask(number: int) -> None:
+            row = {"guards": [], "writes": [{"put": f"k/{number}", "v": "x" * 200}]}
+            body = orjson.dumps(row)
+            while time.monotonic() < ends:
+                if writes:
+                    status, _ = await client.request("POST", "/txn", body, 5.0)
+                else:
+                    status, _ = await client.request("GET", f"/store/k/{number}", None, 5.0)
+                counts[status] += 1
+
+        await asyncio.gather(*(ask(number) for number in range(links)))
+        end_quietly()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        client.close()
+    return (counts[200] + counts[404]) / SECONDS, counts[429] / SECONDS
+
+
+async def _answering(client: HttpClient) -> None:
+    for _ in range(100):
+        try:
+            await client.request("GET", "/store/k", None, 1.0)
+            return
+        except NoResponse:
+            await asyncio.sleep(0.1)
+    raise SystemExit("the state service does not answer")
+
+
+async def _reports(workers: int) -> tuple[float, float]:
+    """Reports a second of so many workers, and the share of a core that it all takes."""
+    places = Places(NET, ("dunehold-0",))
+    answer = orjson.dumps({"baton": 1, "orders": []})
+
+    async def serve(request: Request) -> Response:
+        return Response(200, answer)
+
+    server = await HttpServer(serve, 1 << 16).start(*places.node(0))
+    carrier = SocketCarrier(places, Passages())
+    rng = default_rng(1)
+    jobs, history = Jobs(rng), History(time.monotonic, None, False)
+    agents = []
+    for number in range(1, workers + 1):
+        place = places.worker(number)
+        name = f"m-{number:06d}"
+        carrier.machine_hosts[name] = place.host
+        machine = Machine(name, str(place), "small", "north", True, 4.0, 0.0, 16.0, 50.0, 1.0)
+        worker = Worker(machine, jobs, 14.0, time.monotonic())
+        agents.append(WorkerAgent(worker, ["dunehold-0"], 0, 2.5, carrier, history, rng))
+    for agent in agents:
+        agent.start()
+    await asyncio.sleep(3.0)
+    before, cpu = sum(agent.reports for agent in agents), own_usage().cpu_s
+    await asyncio.sleep(SECONDS)
+    rate = (sum(agent.reports for agent in agents) - before) / SECONDS
+    share = (own_usage().cpu_s - cpu) / SECONDS
+    end_quietly()
+    for agent in agents:
+        agent.stop()
+    server.close()
+    return rate, share
+
+
+def main(arguments: list[str]) -> int:
+    raise_file_limit()
+    if arguments == ["store"]:
+        for unlimited in (False, True):
+            for writes in (False, True):
+                served, refused = asyncio.run(_store(unlimited, writes))
+                what = "writes" if writes else "reads"
+                held = "no limit" if unlimited else "own limits"
+                print(f"{what}, {held}: {served:.0f}/s served, {refused:.0f}/s refused")
+        return 0
+    if arguments == ["reports"]:
+        for workers in (100, 300, 600, 1200, 2400):
+            rate, share = asyncio.run(_reports(workers))
+            print(
+                f"{workers} workers: {rate:.0f} reports/s of {workers / 2.5:.0f} due, "
+                f"{share:.2f} of a core with the stub that answers"
+            )
+        return 0
+    print("usage: python -m dunehold.emulator.measure store|reports", file=sys.stderr)
+    return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/dunehold/emulator/serve/cluster.py
+++ b/dunehold/emulator/serve/cluster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -22,7 +23,7 @@
 from dunehold.emulator.serve import written
 from dunehold.emulator.serve.front import Front
 from dunehold.emulator.serve.places import CLOUD, Place, Places
-from dunehold.emulator.serve.processes import ROOT, Child, monotonic, raise_file_limit
+from dunehold.emulator.serve.processes import ROOT, Child, end_quietly, raise_file_limit
 from dunehold.emulator.serve.sockets import (
     HostServer,
     PortTaken,
@@ -61,6 +62,7 @@
     ended: list[tuple[str, int]] = field(default_factory=list)  # ends nobody asked for
     failed: asyncio.Event = field(default_factory=asyncio.Event)
     failure: str = ""
+    _servers: list[HostServer | asyncio.Server] = field(default_factory=list)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _sink: Any = None
 
@@ -70,7 +72,7 @@
         self.places = Places(self.net, written.node_names(scenario))
         self.rng = default_rng(scenario.seed)
         self._sink = (self.directory / "history.jsonl").open("wb")
-        self.history = History(monotonic, self._sink, False, [], self.on_event)
+        self.history = History(time.monotonic, self._sink, False, [], self.on_event)
         self.jobs = Jobs(self.rng)
         for name, groups in written.labels(scenario).items():
             self.passages.cuts.labels[name] = tuple(groups)
@@ -169,7 +171,8 @@
         """All of it; ClusterError when something does not come up."""
         raise_file_limit()
         try:
-            await listen(control.start(*self.places.control), self.places.control)
+            listening = control.start(*self.places.control)
+            self._servers.append(await listen(listening, self.places.control))
             await self._start_outside()
         except PortTaken as error:
             raise ClusterError(str(error)) from None
@@ -182,6 +185,7 @@
     async def _start_outside(self) -> None:
         await self._start_state()
         self.cloud_server = host_server(CLOUD, self.cloud.handle, self.places, self.passages)
+        self._servers.append(self.cloud_server)
         await self.cloud_server.open(self.places.cloud)
         self.spawn(self.cloud.run())
         for a in range(len(self.places.nodes)):
@@ -277,6 +281,7 @@
 
     async def stop(self) -> None:
         """End everything that was started here, and only that."""
+        end_quietly()
         for child in (*self.controllers.values(), getattr(self, "state", None)):
             if child is not None:
                 child.wanted = False
@@ -288,4 +293,6 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(5.0):
                 await asyncio.gather(*list(self._tasks), return_exceptions=True)
+        for server in (*self._servers, *self.machines.values()):
+            server.close()
         self._sink.close()
--- a/dunehold/emulator/serve/play.py
+++ b/dunehold/emulator/serve/play.py
@@ -22,6 +22,7 @@
 from dunehold.emulator.serve.cluster import Cluster, ClusterError
 from dunehold.emulator.serve.control import Control
 from dunehold.emulator.serve.places import Place
+from dunehold.emulator.serve.processes import own_usage
 from dunehold.transport.http import HttpClient
 
 SAMPLE_S = 1.0
@@ -77,7 +78,11 @@
     ended: list[tuple[str, int]]
     samples: list[Sample]
     cost: float
-    faults: int
+    fault_times: list[float]  # seconds from the start
+
+    @property
+    def faults(self) -> int:
+        return len(self.fault_times)
 
     @property
     def good(self) -> bool:
@@ -103,7 +108,8 @@
     _statuses: dict[int, int] = field(default_factory=dict)
     _asked_at: dict[str, float] = field(default_factory=dict)
     _first: dict[str, float] = field(default_factory=dict)
-    _kills: list[float] = field(default_factory=list)
+    _kills: list[tuple[float, int]] = field(default_factory=list)  # when; last attempt then
+    _attempt: int = 0  # the highest seen; a later leader's are all higher
     _recoveries: list[tuple[float, float]] = field(default_factory=list)
     _lost: int = 0
 
@@ -130,12 +136,22 @@
             uid = data["item"].rpartition("/")[0]
             if uid in self._asked_at and uid not in self._first:
                 self._first[uid] = event.at - self._asked_at[uid]
-            self._recoveries.extend((at, event.at - at) for at in self._kills)
-            self._kills.clear()
+            self._note_recovery(event.at, data["attempt"])
         elif event.kind == "off":
             self._lost += data["why"] in ("gone", "lease")
-        elif event.kind == "fault" and data["what"] == "controllers":
-            self._kills.append(event.at)
+        elif event.kind == "fault" and self._kills_leader(data):
+            self._kills.append((event.at, self._attempt | 0xFFFFFFFF))
+
+    def _kills_leader(self, data: dict[str, Any]) -> bool:
+        kills = data["what"] == "controllers" and data["fault"]["do"] == "kill"
+        return kills and self.cluster.leader() in data["targets"]
+
+    def _note_recovery(self, at: float, attempt: int) -> None:
+        """A start by a later leader: its attempts have a higher upper half."""
+        self._attempt = max(self._attempt, attempt)
+        for kill in [kill for kill in self._kills if attempt > kill[1]]:
+            self._kills.remove(kill)
+            self._recoveries.append((kill[0], at - kill[0]))
 
     def _submitted(self, latency_s: float, status: int) -> None:
         self._submissions.record_value(min(int(latency_s * 1e6) + 1, MOST_LATENCY_US))
@@ -181,7 +197,7 @@
             cluster.ended,
             self.samples,
             cluster.cloud.cloud.cost(time.monotonic()),
-            len(self.acts.done),
+            [fault.at_s for fault in self.acts.done],
         )
 
     async def _or_failure(self, work: Any) -> None:
@@ -210,7 +226,10 @@
         await asyncio.sleep(1.0)
 
     def _open(self) -> int:
-        return sum(job.final is None and not job.refused for job in self.checker.jobs.values())
+        return sum(
+            job.final is None and not (job.refused or job.given_up)
+            for job in self.checker.jobs.values()
+        )
 
     async def _sample(self, began: float) -> None:
         cluster = self.cluster
@@ -220,6 +239,7 @@
             state = await cluster.tell_state(None)
             usage = {name: child.usage() for name, child in cluster.controllers.items()}
             usage["state"] = cluster.state.usage()
+            usage["emulator"] = own_usage()
             at_s = time.monotonic() - began
             self.samples.append(
                 Sample(
@@ -268,7 +288,7 @@
         lines.append(f"first start of a job: median {middle:.2f} s")
     if result.recoveries:
         worst = max(seconds for _, seconds in result.recoveries)
-        lines.append(f"next start after a controller was hit: at most {worst:.1f} s")
+        lines.append(f"first start by the next leader after a kill -9: at most {worst:.1f} s")
     if result.samples:
         last = result.samples[-1]
         for name in sorted(last.cpu_s):
--- a/dunehold/emulator/serve/processes.py
+++ b/dunehold/emulator/serve/processes.py
@@ -11,7 +11,6 @@
 import resource
 import signal
 import sys
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -57,6 +56,8 @@
                 await asyncio.sleep(self.back_s)
         finally:
             self.kill()
+            if self._process is not None:
+                await self._process.wait()
 
     async def _start(self) -> None:
         self.starts += 1
@@ -105,14 +106,20 @@
         return Usage(self.past_cpu_s + self._last.cpu_s, self._last.rss_mb)
 
 
+def own_usage() -> Usage:
+    """Of this process: the workers, the cloud and the users."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return Usage(used.ru_utime + used.ru_stime, used.ru_maxrss / 1e3)
+
+
+def end_quietly() -> None:
+    """Connections that are cut off in the midst of a wait are no news from here on."""
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+
+
 def raise_file_limit() -> None:
     """Hundreds of machines are thousands of sockets."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft < hard:
         with contextlib.suppress(ValueError, OSError):
             resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 1 << 18), hard))
-
-
-def monotonic() -> float:
-    """One clock for all processes of this machine."""
-    return time.monotonic()
--- a/dunehold/emulator/serve/sockets.py
+++ b/dunehold/emulator/serve/sockets.py
@@ -71,7 +71,7 @@
     async def open(self, place: Place) -> None:
         self._server = await listen(self.start(place.host, place.port), place)
 
-    def shut(self) -> None:
+    def close(self) -> None:
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -82,7 +82,7 @@
         """Silence, as of a machine without power, then nothing at all."""
         self.dark = True
         await asyncio.sleep(SILENT_S)
-        self.shut()
+        self.close()
 
 
 async def listen(starting: Awaitable[asyncio.Server], place: Place) -> asyncio.Server:
@@ -192,13 +192,17 @@
     async def run(self, listens: Place) -> None:
         """Serves until it is cancelled. Where a cut refuses, nobody listens."""
         self._server = await listen(self._listen(listens), listens)
-        while True:
-            await asyncio.sleep(0.05)
-            mode = self.passages.cuts.between(self.source, self.target)
-            await self._open_unless(mode is Mode.REFUSE, listens)
-            if mode in (Mode.RESET, Mode.REFUSE):
-                for writer in list(self._open):
-                    writer.transport.abort()
+        try:
+            while True:
+                await asyncio.sleep(0.05)
+                mode = self.passages.cuts.between(self.source, self.target)
+                await self._open_unless(mode is Mode.REFUSE, listens)
+                if mode in (Mode.RESET, Mode.REFUSE):
+                    for writer in list(self._open):
+                        writer.transport.abort()
+        finally:
+            if self._server is not None:
+                self._server.close()
 
     async def _open_unless(self, refuses: bool, listens: Place) -> None:
         if refuses and self._server is not None:
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,270 @@
+"""The history checker catches a broken controller, for every rule of the protocol.
+
+Each fault is planted here, in the tests alone: a controller that breaks one rule must be caught
+by what users and workers saw, or the rule is not checked at all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dunehold.bookkeeping import records
+from dunehold.bookkeeping.ledger import Ledger
+from dunehold.coordination.node import Node
+from dunehold.coordination.picture import Picture
+from dunehold.emulator.check import UNHEARD_S, Checker, check
+from dunehold.emulator.history import Event, History, read
+from dunehold.protocol import users
+from dunehold.transport.http import Request, Response
+from dunehold.types import JobId
+from tests.test_rules import play, quiet
+from tests.world import RuleBroken, World
+
+Handle = Callable[[Node, Request], Awaitable[Response]]
+honest: Handle = Node.handle
+
+
+def state(uid: str, phase: str) -> Response:
+    return Response(200, users.encode_state(JobId(uid), phase, 0, 0))
+
+
+def uid_of(request: Request) -> str:
+    return request.path.split("/")[3] if request.path.count("/") > 2 else ""
+
+
+async def forgets(node: Node, request: Request) -> Response:
+    if request.method == "GET" and uid_of(request).endswith("5"):
+        return Response(404)
+    return await honest(node, request)
+
+
+async def refuses_repetitions(node: Node, request: Request) -> Response:
+    response = await honest(node, request)
+    return Response(422) if response.status == 200 and request.method == "POST" else response
+
+
+async def invents(node: Node, request: Request) -> Response:
+    response = await honest(node, request)
+    return state(uid_of(request), "queued") if response.status == 404 else response
+
+
+async def hurries(node: Node, request: Request) -> Response:
+    response = await honest(node, request)
+    if request.method == "GET" and response.status == 200 and uid_of(request):
+        return state(uid_of(request), "done")
+    return response
+
+
+async def goes_back(node: Node, request: Request) -> Response:
+    response = await honest(node, request)
+    if b'"done"' in response.body and node.now() > 60.0 and request.method == "GET":
+        return state(uid_of(request), "running")
+    return response
+
+
+def ignores_cancellations() -> Handle:
+    """Tells everybody that the job is cancelled, and lets it run."""
+    told: set[str] = set()
+
+    async def handle(node: Node, request: Request) -> Response:
+        if request.path.endswith("/cancel"):
+            told.add(uid_of(request))
+        if uid_of(request) in told:
+            return state(uid_of(request), "cancelled")
+        return await honest(node, request)
+
+    return handle
+
+
+async def cancels_by_itself(node: Node, request: Request) -> Response:
+    if request.method == "GET" and uid_of(request).endswith("7"):
+        return state(uid_of(request), "cancelled")
+    return await honest(node, request)
+
+
+async def never_ends(node: Node, request: Request) -> Response:
+    response = await honest(node, request)
+    if b'"phase":"done"' in response.body:
+        return state(uid_of(request), "running")
+    return response
+
+
+def answers(handle: Handle) -> Callable[[pytest.MonkeyPatch], None]:
+    return lambda patch: patch.setattr(Node, "handle", handle)
+
+
+def puts_anywhere(patch: pytest.MonkeyPatch) -> None:
+    decode = records.decode_job_object
+
+    def careless(row: dict[str, Any]) -> users.JobSpec:
+        return replace(
+            decode(row), types=None, zone=None, one_zone=False, spread=False, spot=True
+        )
+
+    patch.setattr(records, "decode_job_object", careless)
+
+
+def takes_silence_for_absence(patch: pytest.MonkeyPatch) -> None:
+    def gone_at_once(self: Ledger, host: object, now: float) -> bool:
+        fed_at = getattr(host, "fed_at", None)
+        return fed_at is not None and now > fed_at + 0.5
+
+    patch.setattr(Ledger, "_lease_over", gone_at_once)
+
+
+def knows_no_limits(patch: pytest.MonkeyPatch) -> None:
+    build = Picture.snapshot
+
+    def unlimited(self: Picture, *arguments: Any) -> Any:
+        snapshot = build(self, *arguments)
+        snapshot.team_room.clear()
+        return snapshot
+
+    patch.setattr(Ledger, "team_allows", lambda *_: True)
+    patch.setattr(Picture, "snapshot", unlimited)
+
+
+def starts_nothing(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Node, "_may_start", lambda self: False)
+
+
+@pytest.mark.parametrize(
+    ("rule", "plant"),
+    [
+        ("ran_twice", takes_silence_for_absence),
+        ("quota", knows_no_limits),
+        ("wrong_place", puts_anywhere),
+        ("ran_cancelled", answers(ignores_cancellations())),
+        ("forgotten", answers(forgets)),
+        ("invented", answers(invents)),
+        ("not_done", answers(hurries)),
+        ("went_back", answers(goes_back)),
+        ("went_back", answers(cancels_by_itself)),
+        ("nothing_ran", starts_nothing),
+        ("final_answer", answers(never_ends)),
+    ],
+)
+def test_a_controller_that_breaks_a_rule_is_caught(
+    rule: str, plant: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    plant(monkeypatch)
+    with pytest.raises(RuleBroken, match=rule):
+        for seed in range(10, 14):
+            world = play(seed, quiet)
+            breaches = world.checker.finish(settled=rule == "final_answer")
+            if breaches:
+                raise RuleBroken("; ".join(map(str, breaches)))
+
+
+def test_an_honest_controller_passes() -> None:
+    world: World = play(10, quiet)
+    assert world.checker.finish(settled=False) == []
+
+
+# -- what needs no controller --------------------------------------------------------------
+
+JOB = {
+    "uid": "job-1", "owner": "t", "shape": "batch", "units": 2, "vcpus": 2.0, "gpus": 0.0,
+    "flavours": None, "hall": None, "together": False, "spread": False, "loaner": True,
+}  # fmt: skip
+
+
+def checker(**job: Any) -> Checker:
+    box = Checker({"t": (4.0, None)}, 30.0)
+    box.feed(Event(0.0, "job", {"uid": "job-1", "job": {**JOB, **job}}))
+    box.feed(Event(0.1, "accepted", {"uid": "job-1", "status": 201}))
+    return box
+
+
+def told(box: Checker, at: float, phase: str, asked: float | None = None) -> None:
+    data = {"uid": "job-1", "phase": phase, "asked": at if asked is None else asked}
+    box.feed(Event(at, "told", data))
+
+
+def on(
+    box: Checker, at: float, number: int, host: str, hall: str = "a", attempt: int = 1
+) -> None:
+    data = {"item": f"job-1/{number}", "attempt": attempt, "host": host, "flavour": "f"}
+    box.feed(Event(at, "on", {**data, "hall": hall, "loaner": True}))
+
+
+def rules(box: Checker) -> list[str]:
+    return [breach.rule for breach in box.breaches]
+
+
+def test_an_answer_on_its_way_when_the_job_ended_is_no_step_back() -> None:
+    box = checker()
+    for n in range(2):
+        box.feed(Event(1.0, "completed", {"item": f"job-1/{n}", "attempt": 1, "host": "m"}))
+    told(box, 5.0, "done")
+    told(box, 5.1, "running", asked=4.0)
+    assert rules(box) == []
+    told(box, 5.2, "running", asked=5.05)
+    assert rules(box) == ["went_back"]
+
+
+def test_a_cancelled_job_has_so_long_and_no_longer() -> None:
+    box = checker()
+    on(box, 1.0, 0, "m")
+    box.feed(Event(2.0, "cancel", {"uid": "job-1"}))
+    told(box, 3.0, "cancelled")
+    box.step(32.9)
+    assert rules(box) == []
+    box.step(33.1)
+    assert rules(box) == ["ran_cancelled"]
+
+
+def test_a_repetition_that_is_refused_means_forgotten() -> None:
+    box = checker()
+    box.feed(Event(9.0, "refused", {"uid": "job-1", "status": 422}))
+    assert rules(box) == ["forgotten"]
+
+
+def test_polls_unanswered_while_most_others_are_mean_forgotten() -> None:
+    for others, expected in ((True, ["forgotten"]), (False, [])):
+        box = checker()
+        box.feed(Event(0.0, "job", {"uid": "job-2", "job": JOB}))
+        for second in range(1, int(UNHEARD_S) + 3):
+            box.feed(Event(float(second), "silent", {"uid": "job-1"}))
+            for _ in range(3):
+                kind = "told" if others else "silent"
+                data = {"uid": "job-2", "phase": "queued", "asked": float(second)}
+                box.feed(Event(float(second), kind, data))
+        assert rules(box) == expected
+
+
+def test_places_and_limits() -> None:
+    box = checker(spread=True, units=2)
+    on(box, 1.0, 0, "m1")
+    on(box, 1.0, 1, "m2")
+    assert rules(box) == ["wrong_place"]
+    box = checker(together=True)
+    on(box, 1.0, 0, "m1", "a")
+    on(box, 1.0, 1, "m2", "b")
+    assert rules(box) == ["wrong_place"]
+    box = checker(vcpus=3.0)
+    on(box, 1.0, 0, "m1")
+    on(box, 1.0, 1, "m2")
+    assert rules(box) == ["quota"]
+
+
+def test_a_history_on_disk_is_judged_alike_and_may_end_in_a_torn_line(tmp_path: Path) -> None:
+    path = tmp_path / "history.jsonl"
+    with path.open("wb") as sink:
+        history = History(lambda: 1.0, sink)
+        history.add("job", uid="job-1", job=JOB)
+        history.add("accepted", uid="job-1", status=201, asked=0.9)
+        history.add(
+            "on", item="job-1/0", attempt=1, host="m", flavour="f", hall="a", loaner=True
+        )
+        history.add(
+            "on", item="job-1/0", attempt=2, host="n", flavour="f", hall="a", loaner=True
+        )
+        sink.write(b'{"at":2.0,"kind":"to')
+    summary = check(read(path), {"t": (None, None)}, 30.0, settled=True)
+    assert [breach.rule for breach in summary.breaches] == ["ran_twice", "final_answer"]
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,201 @@
+"""The emulator as people run it: real processes on loopback, ended as they end it."""
+
+from __future__ import annotations
+
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pyarrow.parquet as pq
+import pytest
+
+from dunehold.emulator import faults
+from dunehold.emulator.scenario import DEFAULT, ScenarioError, parse
+
+ROOT = Path(__file__).parent.parent
+SHORT = ROOT / "deploy" / "emulator" / "short.toml"
+
+
+def dunehold(*arguments: object, **options: Any) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, "-m", "dunehold", *map(str, arguments)],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        **options,
+    )
+
+
+def finish(process: subprocess.Popen[str], seconds: float = 120.0) -> tuple[int, str, str]:
+    out, err = process.communicate(timeout=seconds)
+    return process.returncode, out, err
+
+
+def children(pid: int) -> list[int]:
+    path = Path(f"/proc/{pid}/task/{pid}/children")
+    return [int(child) for child in path.read_text().split()]
+
+
+@pytest.fixture
+def net() -> Iterator[int]:
+    """Addresses that no other run on this machine uses."""
+    for number in range(140, 250):
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.{number}.0.4", 9400))
+            except OSError:
+                continue
+        yield number
+        return
+    raise AssertionError("no free addresses")
+
+
+def test_a_short_run_of_kills_gives_each_job_one_final_answer(net: int, tmp_path: Path) -> None:
+    """Kills at random, of the leader, and of the state service between write and answer."""
+    code, out, err = finish(dunehold("emulate", SHORT, "--net", net, "--directory", tmp_path))
+    assert code == 0, out + err
+    assert "every job has exactly one final answer; no rule broken" in out
+    jobs, done = re.search(r"jobs: (\d+) made, \d+ accepted, (\d+) done", out).groups()  # type: ignore[union-attr]
+    assert int(done) > 0.6 * int(jobs) > 5
+    # What it did is written down, each fault with its time and its targets.
+    rows = [
+        orjson.loads(line) for line in (tmp_path / "faults.jsonl").read_bytes().splitlines()
+    ]
+    assert sum(row["kind"] == "machines" and bool(row["hosts"]) for row in rows) >= 6
+    assert {row["kind"] for row in rows} == {"machines", "controllers", "state"}
+    assert all(faults.decode(orjson.dumps(row)) for row in rows)
+    # The history says the same when it is read again, and not once it is tampered with.
+    checked = finish(dunehold("check-history", SHORT, tmp_path / "history.jsonl"))
+    assert checked[0] == 0, checked
+    lines = (tmp_path / "history.jsonl").read_bytes().splitlines(keepends=True)
+    kept = [line for line in lines if b'"kind":"completed"' not in line]
+    (tmp_path / "cut.jsonl").write_bytes(b"".join(kept))
+    code, out, _ = finish(dunehold("check-history", SHORT, tmp_path / "cut.jsonl"))
+    assert code == 1
+    assert "not_done" in out
+
+
+def test_up_serves_a_first_job_and_ctrl_c_ends_all_that_it_started(
+    net: int, tmp_path: Path
+) -> None:
+    up = dunehold("up", "--net", net, "--directory", tmp_path)
+    bystander = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(60)"])
+    try:
+        assert up.stdout is not None
+        lines = [up.stdout.readline() for _ in range(7)]
+        door = lines[0].split(" serve at ")[1].split(";")[0]
+        submit = lines[2].split()[1:]
+        assert finish(dunehold(*submit))[0] == 0
+        deadline = time.monotonic() + 60.0
+        while '"done","done"' not in (out := finish(dunehold(*lines[3].split()[1:]))[1]):
+            assert time.monotonic() < deadline, out
+            time.sleep(0.5)
+        control = f"127.{net}.0.4:9400"
+        kill = '{"kind":"controllers","do":"kill","node":"leader"}'
+        code, out, _ = finish(dunehold("fault", kill, "--control", control))
+        assert (code, "dunehold-" in out) == (0, True)
+        code, _, err = finish(dunehold("fault", '{"kind":"flood"}', "--control", control))
+        assert code == 2
+        assert "flood" in err and err.count("\n") == 1
+        # A second one can't have the same addresses, and says so.
+        code, _, err = finish(dunehold("up", "--net", net))
+        assert code == 1
+        assert f"127.{net}.0.4:9400" in err and err.count("\n") == 1
+        started = children(up.pid)
+        assert len(started) >= 3
+        up.send_signal(signal.SIGINT)
+        assert finish(up)[0] == 0
+        assert not any(Path(f"/proc/{pid}").exists() for pid in started)
+        assert bystander.poll() is None
+        with socket.socket() as probe:
+            assert probe.connect_ex((door.split(":")[0], 8080)) != 0
+    finally:
+        bystander.kill()
+        if up.poll() is None:
+            up.kill()
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        (b"controllers = 0", "controllers"),
+        (b"controllers = 'three'", "controllers"),
+        (b"contrlers = 3", "contrlers"),
+        (b"[workers]\nlease_s = 50.0", "workers.cancel_s"),
+        (b"[state]\nrps = -1.0", "state.rps"),
+        (b"[[jobs]]\njobclass = 'x'\nrank = 'urgent'", "jobs[0].rank"),
+        (b"[[jobs]]\njobclass = 'x'\nowner = 'green'", "jobs[0].owner"),
+        (b"[[faults]]\nkind = 'machines'\ndo = 'explode'", "faults[0].do"),
+        (b"[[faults]]\nkind = 'state'\ndo = 'refuse'\nnode = 'n9'", "faults[0].node"),
+        (b"[[faults]]\nkind = 'cut'\na = 'north'\nb = 'west'", "faults[0].a"),
+        (b"[[faults]]\nkind = 'cut'\na = 'north'\nb = 'south'\nevery_s = 2.0", "until_s"),
+        (b"name = = 'x'", "line 1"),
+    ],
+)
+def test_a_mistake_in_a_scenario_is_one_line_that_names_the_field(
+    change: bytes, field: str
+) -> None:
+    data = change + b"\n" + DEFAULT if b"[" not in change else DEFAULT + change
+    with pytest.raises(ScenarioError) as caught:
+        parse(data, "file.toml")
+    assert "\n" not in str(caught.value)
+    assert field in str(caught.value)
+
+
+def test_a_mistake_on_the_command_line_exits_with_2(tmp_path: Path) -> None:
+    path = tmp_path / "s.toml"
+    path.write_bytes(DEFAULT + b"[[faults]]\nkind = 'flood'\n")
+    for arguments in (["emulate", path], ["up", path], ["emulate", tmp_path / "none.toml"]):
+        code, _, err = finish(dunehold(*arguments))
+        assert (code, err.count("\n")) == (2, 1), err
+
+
+def test_an_experiment_leaves_parquet_and_a_report(net: int, tmp_path: Path) -> None:
+    scenario = tmp_path / "tiny.toml"
+    text = SHORT.read_text().split("[[faults]]")[0].replace("18.0", "4.0")
+    scenario.write_text(text)
+    plan = tmp_path / "plan.toml"
+    plan.write_text(
+        'name = "tiny"\nscenario = "tiny.toml"\nrepeats = 1\n[grid]\n"flavours.0.up" = [1, 3]\n'
+    )
+    where = tmp_path / "out"
+    done = finish(dunehold("experiment", plan, "--net", net, "--directory", where))
+    assert done[0] == 0, done
+    runs = pq.read_table(where / "runs.parquet").to_pylist()
+    assert [run["breaches"] for run in runs] == [0, 0]
+    assert all(run["done"] > 0 and run["submit_p50_ms"] > 0 for run in runs)
+    buckets = pq.read_table(where / "latencies.parquet").to_pylist()
+    submitted = sum(row["count"] for row in buckets if row["what"] == "submit")
+    assert submitted == sum(run["jobs"] for run in runs)
+    report = (where / "report.md").read_text()
+    assert "flavours.0.up=3" in report
+    for picture in re.findall(r"\((\w+\.png)\)", report):
+        assert (where / picture).stat().st_size > 5000
+    plan.write_text('name = "x"\nscenario = "tiny.toml"\n[grid]\n"flavours.7.up" = [1]\n')
+    code, _, err = finish(dunehold("experiment", plan, "--net", net))
+    assert (code, "flavours.7.up" in err, err.count("\n")) == (2, True, 1)
+
+
+def test_controllers_need_nothing_of_the_emulator() -> None:
+    """They stay light: what the emulator loads is not loaded by ``serve``."""
+    script = (
+        "import sys\n"
+        "from dunehold.cli import main\n"
+        "main(['check-config', '--config', 'nowhere.toml'])\n"
+        "import dunehold.coordination.node\n"
+        "heavy = {'msgspec', 'numpy', 'pyarrow', 'matplotlib', 'lmdb', 'rich', 'hdrh'}\n"
+        "print(sorted(heavy & sys.modules.keys()), 'dunehold.emulator' in sys.modules)\n"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, env=os.environ
+    )
+    assert done.stdout.strip() == "[] False"
