--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -24,6 +24,7 @@
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.state import ABSENT, LeaseGone, Priority, StateClient, Txn
 from dunehold.settings import Settings
+from dunehold.transport.admission import Purpose
 from dunehold.transport.budget import Budget
 from dunehold.transport.http import (
     Client,
@@ -69,6 +70,12 @@
 CLOUD_SHARE, CLOUD_BURST_S = 0.8, 1.5
 
 
+def _purpose(request: Request) -> Purpose:
+    if request.path == workers.REPORT_PATH:
+        return Purpose.WORKER
+    return Purpose.HEALTH if request.path == users.HEALTH_PATH else Purpose.USER
+
+
 @dataclass(slots=True)
 class Node:
     settings: Settings
@@ -172,7 +179,8 @@
     async def run(self) -> None:
         settings = self.settings
         reserved = RESERVED_SOCKETS + int(settings.sockets * DIRECT_SOCKET_SHARE)
-        server = HttpServer(self.handle, max(16, settings.sockets - reserved))
+        most = max(16, settings.sockets - reserved)
+        server = HttpServer(self.handle, most, purpose_of=_purpose)
         await server.start(settings.listen.host, settings.listen.port)
         peer_server = HttpServer(self.handle_peer, PEER_SOCKETS)
         await peer_server.start(settings.peer_listen.host, settings.peer_listen.port)
--- a/dunehold/emulator/faults.py
+++ b/dunehold/emulator/faults.py
@@ -84,7 +84,14 @@
     hosts: list[str] = []
 
 
-AnyFault = Machines | Cut | State | Clouds | Controllers | Orders
+class Flood(Fault, frozen=True, kw_only=True, tag="flood"):
+    """Connections to a controller's user port that are opened, kept, and never used."""
+
+    node: str = "leader"
+    connections: int = 100
+
+
+AnyFault = Machines | Cut | State | Clouds | Controllers | Orders | Flood
 
 
 def decode(data: bytes) -> AnyFault:
--- a/dunehold/emulator/serve/acts.py
+++ b/dunehold/emulator/serve/acts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -12,11 +13,21 @@
 import orjson
 
 from dunehold.emulator import faults
-from dunehold.emulator.faults import AnyFault, Clouds, Controllers, Cut, Machines, Orders, State
+from dunehold.emulator.faults import (
+    AnyFault,
+    Clouds,
+    Controllers,
+    Cut,
+    Flood,
+    Machines,
+    Orders,
+    State,
+)
 from dunehold.emulator.history import Event
 from dunehold.emulator.model.cloud import Boots
 from dunehold.emulator.model.cuts import Mode
 from dunehold.emulator.serve.cluster import Cluster
+from dunehold.emulator.serve.places import Place
 
 
 class NoSuchTarget(Exception):
@@ -70,6 +81,7 @@
             Clouds: self._clouds,
             Controllers: self._controllers,
             Orders: self._orders,
+            Flood: self._flood,
         }
         targets = await how[type(fault)](fault)
         self._note(fault, targets)
@@ -80,7 +92,7 @@
         changes: dict[str, Any] = {"at_s": at, "on": "", "every_s": 0.0}
         if isinstance(fault, Machines | Orders):
             changes["hosts"] = targets
-        elif isinstance(fault, Controllers) and targets:
+        elif isinstance(fault, Controllers | Flood):
             changes["node"] = targets[0] if len(targets) == 1 else "all"
         concrete = msgspec.structs.replace(fault, **changes)
         self.done.append(concrete)
@@ -187,17 +199,42 @@
         self._later(fault.for_s, over)
         return ["cloud"]
 
+    async def _flood(self, fault: Flood) -> list[str]:
+        names = self._named(fault.node)
+        for name in names:
+            place = self.cluster.places.node(self.cluster.places.nodes.index(name))
+            for _ in range(fault.connections):
+                self.cluster.spawn(self._keep_open(place, _now() + (fault.for_s or 30.0)))
+        return names
+
+    async def _keep_open(self, place: Place, until: float) -> None:
+        """One connection that is opened again whenever the other side closes it."""
+        while _now() < until:
+            with contextlib.suppress(OSError, TimeoutError):
+                reader, writer = await asyncio.open_connection(place.host, place.port)
+                try:
+                    async with asyncio.timeout_at(until):
+                        await reader.read()
+                finally:
+                    writer.transport.abort()
+            await asyncio.sleep(1.0)
+
+    def _named(self, node: str) -> list[str]:
+        """Controllers by name, or ``leader``, ``any``, ``all``."""
+        names = list(self.cluster.controllers)
+        if node == "all":
+            return names
+        if node == "leader":
+            return [self.cluster.leader() or names[0]]
+        if node == "any":
+            return [names[int(self.cluster.rng.integers(len(names)))]]
+        if node not in names:
+            raise NoSuchTarget(f"no controller is called {node}")
+        return [node]
+
     async def _controllers(self, fault: Controllers) -> list[str]:
         children = self.cluster.controllers
-        names = list(children)
-        if fault.node == "leader":
-            names = [self.cluster.leader() or names[0]]
-        elif fault.node == "any":
-            names = [names[int(self.cluster.rng.integers(len(names)))]]
-        elif fault.node != "all":
-            names = [fault.node]
-        if names[0] not in children:
-            raise NoSuchTarget(f"no controller is called {names[0]}")
+        names = self._named(fault.node)
         for n, name in enumerate(names):
             if n and fault.gap_s:
                 await asyncio.sleep(fault.gap_s)
--- a/dunehold/emulator/serve/play.py
+++ b/dunehold/emulator/serve/play.py
@@ -13,6 +13,7 @@
 from hdrh.histogram import HdrHistogram
 
 from dunehold.emulator.agents.users import Users
+from dunehold.emulator.aims import Aims, Met
 from dunehold.emulator.check import Checker, Summary, summarize
 from dunehold.emulator.faults import AnyFault
 from dunehold.emulator.history import Event
@@ -79,6 +80,7 @@
     samples: list[Sample]
     cost: float
     fault_times: list[float]  # seconds from the start
+    aims: list[Met]
 
     @property
     def faults(self) -> int:
@@ -102,6 +104,7 @@
     acts: Acts = field(init=False)
     users: Users = field(init=False)
     checker: Checker = field(init=False)
+    aims: Aims = field(init=False)
     samples: list[Sample] = field(default_factory=list)
     _submissions: HdrHistogram = field(default_factory=latencies)
     _answers: HdrHistogram = field(default_factory=latencies)
@@ -123,12 +126,14 @@
         limits = {
             team.name: (team.cpus_max or None, team.gpus_max or None) for team in scenario.teams
         }
+        self.aims = Aims(scenario.objectives)
         self.checker = Checker(limits, scenario.workers.cancel_s)
 
     # -- what is seen --------------------------------------------------------------------
 
     def _seen(self, event: Event) -> None:
         self.checker.feed(event)
+        self.aims.feed(event)
         data = event.data
         if event.kind == "job":
             self._asked_at[data["uid"]] = event.at
@@ -198,6 +203,7 @@
             self.samples,
             cluster.cloud.cloud.cost(time.monotonic()),
             [fault.at_s for fault in self.acts.done],
+            self.aims.met(),
         )
 
     async def _or_failure(self, work: Any) -> None:
@@ -295,6 +301,7 @@
             most = max(sample.rss_mb.get(name, 0.0) for sample in result.samples)
             share = last.cpu_s[name] / max(last.at_s, 1e-9)
             lines.append(f"{name}: {share:.3f} of a core, at most {most:.0f} MB")
+    lines.extend(str(met) for met in result.aims)
     lines.extend(f"ended by itself: {name} with {code}" for name, code in result.ended)
     lines.extend(f"BROKEN: {breach}" for breach in summary.breaches)
     if not summary.breaches:
--- a/dunehold/transport/http.py
+++ b/dunehold/transport/http.py
@@ -12,14 +12,25 @@
 
 import h11
 
+from dunehold.transport.admission import Admission, Line, Purpose
+
 log = logging.getLogger(__name__)
 
 MAX_BODY = 64 * 1024
 MAX_HEADER = 16 * 1024
 READ_CHUNK = 64 * 1024
+REQUEST_S = 20.0  # for a whole request to come, and for a whole answer to be taken
+NO_ROOM = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
+    b"Content-Length: 2\r\nRetry-After: 1\r\nConnection: close\r\n\r\n{}"
+)
 REASONS = {200: b"OK", 201: b"Created", 421: b"Misdirected Request", 422: b"Unprocessable"}
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 class Request(NamedTuple):
     method: str
     path: str
@@ -61,13 +72,21 @@
 
 @dataclass(slots=True)
 class HttpServer:
-    """Serves one address. ``max_connections`` bounds the sockets that it may hold."""
+    """Serves one address. ``max_connections`` bounds the sockets that it may hold.
+
+    ``purpose_of`` tells from a request what its connection is for; each purpose has a share.
+    """
 
     handler: Handler
     max_connections: int
     idle_s: float = 90.0
+    purpose_of: Callable[[Request], Purpose] = lambda request: Purpose.USER
+    admission: Admission = field(init=False)
     _open: set[asyncio.StreamWriter] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        self.admission = Admission(self.max_connections)
+
     async def start(self, host: str, port: int) -> asyncio.Server:
         return await asyncio.start_server(
             self._serve, host, port, limit=READ_CHUNK, backlog=512, reuse_address=True
@@ -75,14 +94,16 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # A flood of connections must not take the sockets that other purposes need.
-        if len(self._open) >= self.max_connections:
-            writer.transport.abort()
+        peer = str((writer.get_extra_info("peername") or ("",))[0])
+        line = self.admission.arrive(writer.transport.abort, peer, _now())
+        if line is None:
+            writer.write(NO_ROOM)
+            writer.close()
             return
         self._open.add(writer)
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER)
-        peer = str((writer.get_extra_info("peername") or ("",))[0])
         try:
-            while await self._exchange(conn, reader, writer, peer):
+            while await self._exchange(conn, reader, writer, line):
                 conn.start_next_cycle()
         except (OSError, TimeoutError, h11.RemoteProtocolError, asyncio.IncompleteReadError):
             pass
@@ -91,6 +112,7 @@
             log.exception("connection handler failed")
         finally:
             self._open.discard(writer)
+            self.admission.leave(line)
             writer.close()
 
     async def _exchange(
@@ -98,7 +120,7 @@
         conn: h11.Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        peer: str,
+        line: Line,
     ) -> bool:
         """One request and its response; true while the connection may be used again."""
         try:
@@ -113,14 +135,16 @@
         if isinstance(request, Response):
             await self._send(conn, writer, request, close=True)
             return False
+        self.admission.begin(line, self.purpose_of(request))
         try:
-            response = await self.handler(request._replace(peer=peer))
+            response = await self.handler(request._replace(peer=line.peer))
         except ConnectionError:
             raise  # the handler gives the connection up, not the request alone
         except Exception:
             log.exception("request %s %s failed", request.method, request.path)
             response = Response(503, retry_after=1)
         await self._send(conn, writer, response, close=response.close)
+        self.admission.end(line, _now())
         return conn.our_state is h11.DONE and conn.their_state is h11.DONE
 
     async def _read(
@@ -129,11 +153,14 @@
         head: h11.Request | None = None
         parts: list[bytes] = []
         size = 0
+        due: float | None = None  # a sender that dribbles must not hold its connection for ever
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
-                async with asyncio.timeout(self.idle_s):
+                left = self.idle_s if due is None else min(self.idle_s, due - _now())
+                async with asyncio.timeout(left):
                     conn.receive_data(await reader.read(READ_CHUNK))
+                due = due or _now() + REQUEST_S
             elif isinstance(event, h11.Request):
                 head = event
                 if conn.they_are_waiting_for_100_continue:
@@ -178,7 +205,9 @@
             conn.send(h11.EndOfMessage()),
         ]
         writer.write(b"".join(chunk for chunk in chunks if chunk))
-        await writer.drain()
+        if writer.transport.get_write_buffer_size():
+            async with asyncio.timeout(REQUEST_S):  # nor one that does not read
+                await writer.drain()
 
 
 class Answer(NamedTuple):
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -17,8 +17,10 @@
 from dunehold.bookkeeping.ledger import Ledger
 from dunehold.coordination.node import Node
 from dunehold.coordination.picture import Picture
+from dunehold.emulator.aims import Aims
 from dunehold.emulator.check import UNHEARD_S, Checker, check
 from dunehold.emulator.history import Event, History, read
+from dunehold.emulator.scenario import ObjectiveTable
 from dunehold.protocol import users
 from dunehold.transport.http import Request, Response
 from dunehold.types import JobId
@@ -268,3 +270,27 @@
         sink.write(b'{"at":2.0,"kind":"to')
     summary = check(read(path), {"t": (None, None)}, 30.0, settled=True)
     assert [breach.rule for breach in summary.breaches] == ["ran_twice", "final_answer"]
+
+
+def test_aims_are_counted_as_the_protocol_counts_them() -> None:
+    wait = ObjectiveTable(kind="wait", within_s=4.0)
+    done = ObjectiveTable(kind="finished", within_s=20.0)
+    due = ObjectiveTable(kind="deadline", times=1.0)
+    aims = Aims([wait, done, due])
+
+    def task(at: float, kind: str, number: int, why: str = "") -> None:
+        data = {"item": f"job-1/{number}", "attempt": 1, "host": "m", "why": why}
+        aims.feed(Event(at, kind, data))
+
+    aims.feed(
+        Event(0.0, "job", {"uid": "job-1", "job": {**JOB, "jobclass": "c", "due_s": 15.0}})
+    )
+    task(1.0, "on", 0)
+    task(3.0, "on", 1)
+    task(9.0, "off", 1, "halted")  # stopped by command too soon: that start does not count
+    task(10.0, "on", 1)
+    task(11.0, "completed", 0)
+    task(18.0, "completed", 1)
+    assert [met.share for met in aims.met()] == [0.5, 1.0, 0.0]
+    aims.feed(Event(19.0, "cancel", {"uid": "job-1"}))
+    assert [met.counted for met in aims.met()] == [0, 0, 0]
