--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -103,9 +103,9 @@
         kill = '{"kind":"controllers","do":"kill","node":"leader"}'
         code, out, _ = finish(dunehold("fault", kill, "--control", control))
         assert (code, "dunehold-" in out) == (0, True)
-        code, _, err = finish(dunehold("fault", '{"kind":"flood"}', "--control", control))
+        code, _, err = finish(dunehold("fault", '{"kind":"quake"}', "--control", control))
         assert code == 2
-        assert "flood" in err and err.count("\n") == 1
+        assert "quake" in err and err.count("\n") == 1
         # A second one can't have the same addresses, and says so.
         code, _, err = finish(dunehold("up", "--net", net))
         assert code == 1
@@ -153,7 +153,7 @@
 
 def test_a_mistake_on_the_command_line_exits_with_2(tmp_path: Path) -> None:
     path = tmp_path / "s.toml"
-    path.write_bytes(DEFAULT + b"[[faults]]\nkind = 'flood'\n")
+    path.write_bytes(DEFAULT + b"[[faults]]\nkind = 'quake'\n")
     for arguments in (["emulate", path], ["up", path], ["emulate", tmp_path / "none.toml"]):
         code, _, err = finish(dunehold(*arguments))
         assert (code, err.count("\n")) == (2, 1), err
