--- a/dunehold/emulator/experiment.py
+++ b/dunehold/emulator/experiment.py
@@ -6,6 +6,8 @@
 [grid]
 "flavours.0.up" = [25, 100, 300]
 "operator.leader_lease_s" = [3.0, 2.0]
+
+``[[points]]`` tables change several places together; the grid is played at each of them.
 """
 
 from __future__ import annotations
@@ -29,6 +31,7 @@
     scenario: str
     repeats: int = 1
     grid: dict[str, list[Any]] = {}
+    points: list[dict[str, Any]] = []
 
 
 @dataclass(slots=True)
@@ -108,8 +111,8 @@
         raise ScenarioError(f"{path}: repeats: must be at least 1")
     parse(base, plan.scenario)
     points = []
-    for values in itertools.product(*plan.grid.values()):
-        chosen = dict(zip(plan.grid, values, strict=True))
+    for together, *values in itertools.product(plan.points or [{}], *plan.grid.values()):
+        chosen = {**together, **dict(zip(plan.grid, values, strict=True))}
         points.append(Point(chosen, _changed(rows, chosen, path)))
     return plan, points
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -36,7 +36,10 @@
 
 
 def finish(process: subprocess.Popen[str], seconds: float = 120.0) -> tuple[int, str, str]:
-    out, err = process.communicate(timeout=seconds)
+    try:
+        out, err = process.communicate(timeout=seconds)
+    finally:
+        process.kill()
     return process.returncode, out, err
 
 
