--- a/dunehold/emulator/serve/sockets.py
+++ b/dunehold/emulator/serve/sockets.py
@@ -81,8 +81,10 @@
     async def go_dark(self) -> None:
         """Silence, as of a machine without power, then nothing at all."""
         self.dark = True
-        await asyncio.sleep(SILENT_S)
-        self.close()
+        try:
+            await asyncio.sleep(SILENT_S)
+        finally:
+            self.close()
 
 
 async def listen(starting: Awaitable[asyncio.Server], place: Place) -> asyncio.Server:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -52,13 +52,14 @@
 def net() -> Iterator[int]:
     """Addresses that no other run on this machine uses."""
     for number in range(140, 250):
-        with socket.socket() as probe:
+        # Held while the test lasts, so that runs beside each other don't meet.
+        with socket.socket() as held:
             try:
-                probe.bind((f"127.{number}.0.4", 9400))
+                held.bind((f"127.{number}.0.9", 9400))
             except OSError:
                 continue
-        yield number
-        return
+            yield number
+            return
     raise AssertionError("no free addresses")
 
 
