A lost fleet is replaced at once, and leadership does not go round meanwhile

Cause: with every machine lost, each new leader heard no worker, gave way to the next, and rented nothing while more than a tenth of the machines on record were unheard of. Change: controllers tell one another when they last heard any worker. Where none did for as long as workers need to come round, the leader stays, and does not count on silent machines when it rents; what may run on them stays on the books as before.

--- a/dunehold/coordination/fleet.py
+++ b/dunehold/coordination/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -64,6 +65,7 @@
     boots: dict[Offer, deque[tuple[MonotonicTime, bool]]] = field(default_factory=dict)
     late: set[HostId] = field(default_factory=set)  # that should be up by now
     listed: dict[HostId, Listed] = field(default_factory=dict)
+    silent_since: MonotonicTime = MonotonicTime(-math.inf)  # nobody heard any machine then
     _renting: bool = False
     _rentals: int = 0
 
@@ -188,6 +190,10 @@
 
     # -- renting -------------------------------------------------------------------------
 
+    def written_off(self, host: Host) -> bool:
+        """Silent when no controller heard any machine: not counted on until it speaks."""
+        return not host.known and host.created_at <= self.silent_since
+
     def scale(self, jobs: dict[JobId, JobProgress], now: MonotonicTime) -> None:
         if self._renting:
             return
@@ -202,7 +208,11 @@
             }
         decision = autoscaler.decide(
             self.types,
-            [host for host in self.picture.fleet(now) if host.id not in self.late],
+            [
+                host
+                for host in self.picture.fleet(now)
+                if host.id not in self.late and not self.written_off(self.ledger.hosts[host.id])
+            ],
             demands,
             refused,
             self.doubtful(now),
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -6,7 +6,7 @@
 import logging
 import math
 from bisect import insort
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -72,6 +72,7 @@
     may_feed: Callable[[], bool]
     proved_at: Callable[[], MonotonicTime]
     deposed: Callable[[], None]
+    workers_silent: Callable[[], Awaitable[bool]]
     estimates: Estimates
     connect: Connect
     wall: Callable[[], float]
@@ -509,11 +510,13 @@
             self._notice_standstill(now, now - ticked_at - TICK_S)
             ticked_at = now
             if now - self._heard_at > self._deaf_after_s():
-                # All were here and all are silent at once: it is this node that is cut off
-                # from them, while its lease would keep every other from leading.
-                log.info("token %d: no worker is heard any more", self.token)
-                self.deposed()
-                return
+                if not await self._fleet_silent():
+                    # All were here and all are silent at once: it is this node that is cut
+                    # off from them, while its lease would keep every other from leading.
+                    log.info("token %d: no worker is heard any more", self.token)
+                    self.deposed()
+                    return
+                now = self.now()
             self.ledger.note_relays(now)
             self._lost(self.ledger.expire(min(now, self.proved_at())))
             self._check_known()
@@ -535,6 +538,19 @@
                 logged_at = now
                 self._log_fleet()
 
+    async def _fleet_silent(self) -> bool:
+        """Nobody hears any machine: giving way would only pass that on.
+
+        Guards against leadership that goes round while the whole fleet is lost. What may run
+        on the silent machines stays on the books; they are only not counted on for new work.
+        """
+        if not await self.workers_silent():
+            return False
+        now = self._heard_at = self.now()
+        log.info("token %d: no controller hears a machine: others are rented", self.token)
+        self.fleet.silent_since = now
+        return True
+
     def _notice_standstill(self, now: MonotonicTime, late_s: float) -> None:
         """Whatever was silent meanwhile, this node was too."""
         stood_still = late_s > STANDSTILL_S
@@ -555,4 +571,5 @@
         """Its size is not judged by a leader that has yet to hear from its machines."""
         if not self.may_start() or now - self._stood_still_at < self.picture.silent_s:
             return False
-        return len(self.ledger.unknown_hosts()) <= len(self.ledger.hosts) * SILENT_SHARE
+        unknown = [h for h in self.ledger.unknown_hosts() if not self.fleet.written_off(h)]
+        return len(unknown) <= len(self.ledger.hosts) * SILENT_SHARE
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -55,7 +55,9 @@
 RUNNING_AGE_S = 1.0
 ABSTAIN_S = 6.0
 MOST_PATIENCE = 16  # of terms in which no worker was heard: leadership must not go round
-COMPARE_S, FRESH_S, NEVER_S = 1.0, 2.0, 1e9
+COMPARE_S, FRESH_S = 1.0, 2.0
+# Workers give an answer up, and go to the next node, after so long.
+ANSWER_S, NEXT_NODE_S, QUIET_MARGIN_S = 4.0, 1.0, 2.0
 RESERVED_SOCKETS = 64  # for the state service, the cloud and peers
 BARRIER_GAP_S = 0.08
 WATCH_GAP_S = 0.1
@@ -100,6 +102,7 @@
     _abstain_until: MonotonicTime = MonotonicTime(-1e9)  # others should lead, if they can
     _alone: bool = False  # the state service serves others, but not this node
     _isolated: bool = False  # neither the state service nor any peer answers
+    _worker_at: MonotonicTime = MonotonicTime(-1e9)  # when any worker reported here
     _deaf_terms: int = 0  # led in a row without hearing a worker
     _resigning: set[asyncio.Task[None]] = field(default_factory=set)
     _election: asyncio.Event = field(default_factory=asyncio.Event)
@@ -245,6 +248,7 @@
         except BadMessage as error:
             log.info("report ignored: %s", error)
             return Response(400, users.encode_error(str(error)))
+        self._worker_at = self.now()
         if self.leader is not None:
             answer = self.leader.report(report)
             if answer is not None:
@@ -262,7 +266,9 @@
         if request.path == peers.RUNNING_PATH and self.leader is not None:
             return Response(200, peers.encode_running(self.leader.running()))
         if request.path == peers.PROOF_PATH:
-            return Response(200, peers.encode_proof(self.now() - self.sync.proved_at))
+            now = self.now()
+            sight = peers.Sight(now - self.sync.proved_at, now - self._worker_at)
+            return Response(200, peers.encode_sight(sight))
         return Response(404)
 
     async def _compare(self) -> None:
@@ -278,22 +284,38 @@
                 self._set_alone(False)
                 self._isolated = False
                 continue
-            answers = await asyncio.gather(
-                *(self._proof_age(p.name) for p in self.settings.peers)
-            )
-            self._set_alone(any(age < FRESH_S for age in answers))
+            answers = await self._sights()
+            fresh = (s is not None and s.proof_age_s < FRESH_S for s in answers)
+            self._set_alone(any(fresh))
             # Whether all see the outage can't be told: users do better elsewhere, while
             # running work is kept alive as in an outage of all.
-            self._isolated = bool(answers) and all(age >= NEVER_S for age in answers)
+            self._isolated = bool(answers) and all(sight is None for sight in answers)
 
-    async def _proof_age(self, name: NodeId) -> float:
+    async def _sight(self, name: NodeId) -> peers.Sight | None:
         client = self._peer_client(name)
         if client is None:
-            return NEVER_S
+            return None
         try:
-            return await peers.get_proof_age(client, PEER_TIMEOUT_S)
+            return await peers.get_sight(client, PEER_TIMEOUT_S)
         except (NoResponse, BadMessage):
-            return NEVER_S
+            return None
+
+    async def _sights(self) -> list[peers.Sight | None]:
+        return await asyncio.gather(*(self._sight(p.name) for p in self.settings.peers))
+
+    async def _workers_silent(self) -> bool:
+        """Has no controller heard a worker for so long that a change of leader can't help?
+
+        Workers that get no answer try the next node: had there been any, another node would
+        have heard them by now. Followers are not reported to as long as the leader answers,
+        so this node's own silence must have lasted long enough for them to come round.
+        """
+        quiet_s = ANSWER_S + NEXT_NODE_S + 1.25 * self.settings.report_s + QUIET_MARGIN_S
+        answers = [sight for sight in await self._sights() if sight is not None]
+        if 2 * len(answers) < len(self.settings.peers):
+            return False  # it may be this node that is cut off
+        ages = [self.now() - self._worker_at, *(sight.worker_age_s for sight in answers)]
+        return min(ages) >= quiet_s
 
     async def _reaches(self, name: NodeId) -> bool:
         """Is there a way to that node's machine? A refusal comes from there, too."""
@@ -301,7 +323,7 @@
         if client is None:
             return True
         try:
-            await peers.get_proof_age(client, PEER_TIMEOUT_S)
+            await peers.get_sight(client, PEER_TIMEOUT_S)
         except (Refused, BadMessage):
             return True
         except NoResponse:
@@ -466,6 +488,7 @@
             self._may_feed,
             lambda: self.sync.proved_at,
             self._deposed,
+            self._workers_silent,
             self.estimates,
             self.connect,
             self.wall,
--- a/dunehold/protocol/peers.py
+++ b/dunehold/protocol/peers.py
@@ -1,7 +1,12 @@
-"""What controllers ask one another: for display only, nothing depends on it."""
+"""What controllers ask one another: hints on who should lead or serve, and counts to show.
+
+No rule depends on an answer: who may lead and what may start is decided by the state service.
+"""
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from dunehold.protocol import codec
 from dunehold.protocol.codec import BadMessage
 from dunehold.transport.http import Client
@@ -15,16 +20,25 @@
     return codec.dump({"running": running})
 
 
-def encode_proof(age_s: float) -> bytes:
-    return codec.dump({"age_s": max(0.0, min(age_s, 1e9))})
+class Sight(NamedTuple):
+    """What a node has seen lately, in seconds ago: a proof of a current view, any worker."""
+
+    proof_age_s: float
+    worker_age_s: float
+
+
+def encode_sight(sight: Sight) -> bytes:
+    proof, worker = (max(0.0, min(age, 1e9)) for age in sight)
+    return codec.dump({"age_s": proof, "worker_age_s": worker})
 
 
-async def get_proof_age(client: Client, timeout_s: float) -> float:
-    """How long ago the peer had its last proof of a current view."""
+async def get_sight(client: Client, timeout_s: float) -> Sight:
     status, data = await client.request("GET", PROOF_PATH, None, timeout_s)
     if status != 200:
         raise BadMessage(f"status {status}")
-    return codec.amount(codec.load_object(data), "age_s")
+    row = codec.load_object(data)
+    # A node that does not say when it heard a worker may hear them now.
+    return Sight(codec.amount(row, "age_s"), codec.opt_amount(row, "worker_age_s") or 0.0)
 
 
 async def get_running(client: Client, timeout_s: float) -> dict[JobId, int]:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -321,6 +321,38 @@
     assert obeyed < ignored / 2, (obeyed, ignored)
 
 
+async def whole_fleet_lost(world: World) -> None:
+    """Every machine stops at once, and the list goes on showing them for a while."""
+    await asyncio.sleep(40.0)
+    for name in list(world.cloud.workers):
+        world.cloud.remove(name, failed=True)
+    for kind in world.cloud.cloud.capacity:
+        world.cloud.cloud.capacity[kind] += 3
+    began, led = world.now(), set()
+    while not world.cloud.workers:
+        await asyncio.sleep(0.1)
+        led |= {n.name for n in world.nodes if n.node is not None and n.node.leader}
+    world.waited = world.now() - began
+    world.led = len(led)
+
+
+def test_a_lost_fleet_is_replaced_and_leadership_does_not_go_round(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each leader heard no worker and gave way to the next, and none rented another machine."""
+    mended = [play(seed, whole_fleet_lost, nodes=5) for seed in (52, 53, 54)]
+
+    async def never(self: Node) -> bool:
+        return False
+
+    monkeypatch.setattr(Node, "_workers_silent", never)
+    before = [play(seed, whole_fleet_lost, nodes=5) for seed in (52, 53, 54)]
+    waited = [sum(world.waited for world in worlds) for worlds in (mended, before)]
+    assert waited[0] < 0.8 * waited[1], waited
+    assert max(world.led for world in mended) <= 2
+    assert max(world.led for world in before) >= 3
+
+
 async def handed_over(world: World) -> None:
     """How long nobody leads once a leader has given way by itself."""
     await asyncio.sleep(30.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -241,6 +241,7 @@
         self.broken_share = 0.0  # of the jobs, submitted with a mistake
         self.guests = 0.0  # share of jobs that are a guest's: wide, of low rank
         self.waited = 0.0  # seconds that something took
+        self.led = 0  # controllers that led meanwhile
         self.kept = 1.0  # share of the machines, over some trouble
         self.broken: list[Breach | str] = []
         self._spawned: set[asyncio.Task[Any]] = set()
