--- a/dunehold/emulator/model/cloud.py
+++ b/dunehold/emulator/model/cloud.py
@@ -159,7 +159,7 @@
         if host.failed_at is None:
             self._charge(host, max(now, host.rented_at + LEAST_PAID_S))
             self.happened.append(Event(now, What.GONE, host.name))
-            self.capacity[host.kind] += 1
+        self.capacity[host.kind] += 1
 
     def _charge(self, host: Host, until: float) -> None:
         flavour = self.flavours[host.kind.flavour]
@@ -179,7 +179,8 @@
     # -- faults --------------------------------------------------------------------------
 
     def fail(self, name: str, now: float) -> None:
-        """The machine stops on its own; the list shows it later, its place stays lost."""
+        """The machine stops on its own; the list shows it later, its place is free once
+        it is deleted."""
         host = self.hosts.get(name)
         if host is not None and host.failed_at is None:
             host.failed_at = now
--- a/dunehold/emulator/serve/processes.py
+++ b/dunehold/emulator/serve/processes.py
@@ -79,9 +79,11 @@
         return None if process is None or process.returncode is not None else process.pid
 
     def _signal(self, number: int) -> None:
-        if self.pid is not None and self._process is not None:
+        pid = self.pid
+        if pid is not None:
+            # Not by the process object: that one would reap the child, and hide its exit code.
             with contextlib.suppress(ProcessLookupError):
-                self._process.send_signal(number)
+                os.kill(pid, number)
 
     def kill(self) -> None:
         self.usage()
--- a/tests/test_outside_models.py
+++ b/tests/test_outside_models.py
@@ -289,6 +289,7 @@
     for tick in range(200, 220):
         box.advance(tick / 2)
     assert call(box, "GET", "/hosts", None, 110.0)[1]["hosts"] == []
+    assert len(rent(box, "s", 50, 110.0)[1]["hosts"]) == 5  # its place is free again
 
 
 def test_pages_of_the_list() -> None:
