--- a/dunehold/emulator/agents/outside.py
+++ b/dunehold/emulator/agents/outside.py
@@ -261,6 +261,7 @@
     up: Callable[[WorkerAgent], None] = lambda _: None
     gone: Callable[[str], None] = lambda _: None
     _killed: int = 0  # by lost leases, on machines that are gone by now
+    _reports: int = 0  # of machines that are gone by now
     _alarm: Alarm = field(default_factory=Alarm)
 
     async def handle(self, method: str, target: str, body: bytes | None, source: str) -> Reply:
@@ -324,9 +325,15 @@
         if agent is not None:
             self.lost += sum(task.on_machine for task in agent.worker.tasks.values())
             self._killed += agent.worker.killed
+            self._reports += agent.reports
             agent.vanish()
             self.gone(name)
 
+    @property
+    def reports(self) -> int:
+        """Answered or not, of all machines so far."""
+        return self._reports + sum(agent.reports for agent in self.workers.values())
+
     @property
     def killed(self) -> int:
         """Tasks that a lost lease ended."""
--- a/dunehold/emulator/report.py
+++ b/dunehold/emulator/report.py
@@ -134,7 +134,7 @@
     axes.plot(at, [sample.tasks for sample in samples], label="tasks on machines")
     axes.plot(at, [sample.waiting for sample in samples], label="jobs open")
     for fault_at in done.result.fault_times:
-        axes.axvline(fault_at, color="grey", linewidth=0.5, alpha=0.5)
+        axes.axvline(fault_at, color="grey", linestyle=":")
     axes.set(xlabel=f"seconds of run {done.run}; grey: a fault", ylabel="count")
     _save(figure, axes, path)
 
--- a/dunehold/emulator/serve/play.py
+++ b/dunehold/emulator/serve/play.py
@@ -253,7 +253,7 @@
                     len(agents),
                     tasks,
                     self._open(),
-                    sum(agent.reports for agent in agents),
+                    cluster.cloud.reports,
                     0 if state is None else state["served"],
                     {name: used.cpu_s for name, used in usage.items()},
                     {name: used.rss_mb for name, used in usage.items()},
