--- a/dunehold/emulator/commands.py
+++ b/dunehold/emulator/commands.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import os
 import signal
 import sys
 import tempfile
@@ -125,20 +126,27 @@
 def _print_welcome(cluster: Cluster, directory: Path) -> None:
     path = directory / "first-job.json"
     path.write_bytes(orjson.dumps({**FIRST_JOB, "owner": cluster.scenario.teams[0].name}))
-    places = cluster.places
+    places, me = cluster.places, _called()
     print(
         f"{len(cluster.controllers)} controllers serve at {places.door}; logs in {directory}\n"
         "submit a first job, and see it run:\n"
-        f"  dunehold submit {path} --server {places.door} --upload {places.control}\n"
-        f"  dunehold status {FIRST_JOB['uid']} --server {places.door}\n"
+        f"  {me} submit {path} --server {places.door} --upload {places.control}\n"
+        f"  {me} status {FIRST_JOB['uid']} --server {places.door}\n"
         "cause a fault:\n"
-        f'  dunehold fault \'{{"kind":"controllers","do":"kill","node":"leader"}}\''
+        f'  {me} fault \'{{"kind":"controllers","do":"kill","node":"leader"}}\''
         f" --control {places.control}\n"
         "Ctrl-C ends it all.",
         flush=True,
     )
 
 
+def _called() -> str:
+    """How this command line was called, for commands that can be copied."""
+    if Path(sys.argv[0]).name == "dunehold":
+        return "dunehold"
+    return f"{os.path.relpath(sys.executable)} -m dunehold"
+
+
 # -- emulate -----------------------------------------------------------------------------
 
 
--- a/dunehold/emulator/serve/processes.py
+++ b/dunehold/emulator/serve/processes.py
@@ -36,7 +36,6 @@
     environment: dict[str, str] = field(default_factory=dict)
     starts: int = 0
     ended: Callable[[int], None] = lambda code: None
-    stopped_until: float = 0.0
     wanted: bool = True
     past_cpu_s: float = 0.0  # of its earlier lives
     _process: asyncio.subprocess.Process | None = None
