Emulator: events of one moment hit their machine once; a test of replays

Cause: three kills on completed results in the same millisecond named one machine three times, so two of them did nothing. Result: the replay test plays an earlier run's faults in order.

--- a/dunehold/emulator/serve/acts.py
+++ b/dunehold/emulator/serve/acts.py
@@ -44,6 +44,7 @@
     began: float = 0.0
     done: list[AnyFault] = field(default_factory=list)
     _rules: list[list[Any]] = field(default_factory=list)  # fault, times left
+    _hit: set[str] = field(default_factory=set)  # machines, by events
 
     def schedule(self, planned: list[AnyFault]) -> None:
         """Those with a time happen then; those ``on`` an event, with it."""
@@ -66,11 +67,16 @@
     def _seen(self, event: Event) -> None:
         for rule in self._rules:
             fault, left = rule
-            if left > 0 and event.kind == fault.on and _now() >= self.began + fault.at_s:
-                rule[1] -= 1
-                if isinstance(fault, Machines) and not (fault.hosts or fault.share):
-                    fault = msgspec.structs.replace(fault, hosts=[event.data.get("host", "")])
-                self.cluster.spawn(self.act(fault))
+            if left <= 0 or event.kind != fault.on or _now() < self.began + fault.at_s:
+                continue
+            if isinstance(fault, Machines) and not (fault.hosts or fault.share):
+                host = event.data.get("host", "")
+                if host in self._hit:
+                    continue  # several events of one moment hit their machine once
+                self._hit.add(host)
+                fault = msgspec.structs.replace(fault, hosts=[host])
+            rule[1] -= 1
+            self.cluster.spawn(self.act(fault))
 
     async def act(self, fault: AnyFault) -> list[str]:
         """Do it now; what it was done to. What it does for a while ends by itself."""
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -163,6 +163,31 @@
         assert (code, err.count("\n")) == (2, 1), err
 
 
+def test_faults_of_an_earlier_run_are_played_again(net: int, tmp_path: Path) -> None:
+    scenario = tmp_path / "tiny.toml"
+    scenario.write_text(SHORT.read_text().replace("18.0", "4.0"))
+    done = [
+        {"kind": "machines", "at_s": 1.5, "do": "kill", "hosts": ["m-000002"]},
+        {"kind": "controllers", "at_s": 2.0, "do": "kill", "node": "dunehold-1", "back_s": 1.0},
+    ]
+    log = tmp_path / "faults.jsonl"
+    log.write_bytes(b"".join(orjson.dumps(row) + b"\n" for row in done))
+    where = tmp_path / "out"
+    code, out, err = finish(
+        dunehold("emulate", scenario, "--net", net, "--directory", where, "--replay", log)
+    )
+    assert code == 0, out + err
+    again = [orjson.loads(line) for line in (where / "faults.jsonl").read_bytes().splitlines()]
+    for row, played in zip(done, again, strict=True):  # and none of the scenario's own
+        assert row["at_s"] <= played["at_s"] < row["at_s"] + 1.0  # type: ignore[operator]
+        assert {key: played[key] for key in row if key != "at_s"} == {
+            key: row[key] for key in row if key != "at_s"
+        }
+    log.write_bytes(b'{"kind":"machines","do":"explode"}\n')
+    code, _, err = finish(dunehold("emulate", scenario, "--net", net, "--replay", log))
+    assert (code, err.count("\n")) == (2, 1)
+
+
 def test_an_experiment_leaves_parquet_and_a_report(net: int, tmp_path: Path) -> None:
     scenario = tmp_path / "tiny.toml"
     text = SHORT.read_text().split("[[faults]]")[0].replace("18.0", "4.0")
