A connection that made room is not counted again by a request on its way

Cause: a request already in the buffer of a connection that was closed to make room moved the counts of two purposes by one for good. Result: tests/test_admission.py plays it.

--- a/dunehold/transport/admission.py
+++ b/dunehold/transport/admission.py
@@ -84,6 +84,8 @@
 
     def begin(self, line: Line, purpose: Purpose) -> None:
         """A request came in: it tells what the connection is for, and keeps it."""
+        if line.closed:
+            return  # it made room, with this request already on its way
         self._idle[line.purpose].pop(line, None)
         if line.purpose is not purpose:
             self._held[line.purpose] -= 1
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -71,9 +71,12 @@
     assert box.arrive(lambda: None, "p", 100.0 + PATIENCE_S / 2) is None
     assert box.arrive(lambda: None, "p", 100.0 + PATIENCE_S) is not None
     assert line.closed
-    box.end(line, 101.0)  # its answer goes out after all: nothing is counted twice
+    # A request of it was on its way, and is answered after all: nothing is counted twice.
+    box.begin(line, Purpose.WORKER)
+    box.end(line, 101.0)
     box.leave(line)
     assert box.held == 4
+    assert box._held[Purpose.WORKER] == 0
 
 
 def test_shares_leave_something_free() -> None:
