--- a/tests/test_outside_models.py
+++ b/tests/test_outside_models.py
@@ -100,6 +100,15 @@
     assert states(box)["job-2/1#1"] == "pulling"  # begun anew
 
 
+def test_images_fetched_at_the_same_time_share_the_rate() -> None:
+    box = worker(job(), job("job-2", bundle="other"))
+    feed(box, 0.0, run("job-1/0"), run("job-2/0"))
+    box.advance(1.9)
+    assert set(states(box).values()) == {"pulling"}
+    box.advance(2.1)
+    assert set(states(box).values()) == {"running"}
+
+
 def test_the_cache_keeps_the_images_used_last() -> None:
     rows = [job(f"job-{n}", bundle=f"i{n}", size_gb=4.0, real_s=0.1) for n in range(3)]
     box = worker(*rows, cache_gb=8.0)
@@ -318,6 +327,22 @@
     assert box.spent == pytest.approx(3.6 * 1060 / 3600)
 
 
+def test_spot_prices_move_around_the_nominal_one_and_hold_for_machines_rented_before() -> None:
+    box = cloud()
+    name = rent(box, "r", 1, loaner=True)[1]["hosts"][0]
+    seen, paid, before = set(), 0.0, box.flavours["t"].spot_price
+    for now in range(0, 601, 20):
+        _, row = call(box, "GET", "/flavors", None, float(now))
+        assert row["flavours"][0]["price"] == 3.6
+        paid += before * (20 if now else 0) / 3600
+        before = row["flavours"][0]["spot_price"]
+        seen.add(before)
+        assert 0.8 - 1e-9 <= before <= 1.6 + 1e-9
+    assert len(seen) > 20
+    call(box, "POST", "/hosts/delete", {"hosts": [name]}, 600.0)
+    assert box.spent == pytest.approx(paid)
+
+
 def test_spot_machines_go_with_a_notice_or_without() -> None:
     box = cloud()
     names = rent(box, "r", 2, loaner=True)[1]["hosts"]
--- a/tests/test_store_model.py
+++ b/tests/test_store_model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import subprocess
 import sys
 from pathlib import Path
@@ -13,6 +14,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from dunehold.emulator.agents.outside import StateAgent
 from dunehold.emulator.keeper import DiskKeeper
 from dunehold.emulator.model.base import Reply
 from dunehold.emulator.model.store import Limits, Store, Watch
@@ -228,6 +230,34 @@
     assert ask(store, "GET", f"/changes?starts=b/&after={store.revision - 9000}")[0] == 200
 
 
+def test_open_watches_stay_open_in_an_outage_and_for_a_node_that_is_refused() -> None:
+    async def play(begin: str) -> float:
+        store = Store()
+        agent = StateAgent(store)
+        loop = asyncio.get_running_loop()
+        watch = loop.create_task(
+            agent.handle("GET", "/changes?starts=k&after=0&hold_ms=100", None, "n0")
+        )
+        await asyncio.sleep(0.02)
+        if begin == "outage":
+            store.begin_outage()
+        else:
+            store.refused.add("n0")
+        began = loop.time()
+        await asyncio.sleep(0.4)
+        assert not watch.done()
+        assert (await agent.handle("GET", "/store/k", None, "n0")).status == 503
+        store.end_outage(loop.time())
+        store.refused.clear()
+        agent.poke()
+        answer = await asyncio.wait_for(watch, 1.0)
+        assert answer.status == 200
+        return loop.time() - began
+
+    for begin in ("outage", "refusal"):
+        assert asyncio.run(play(begin)) >= 0.4
+
+
 def test_pages_are_ordered_and_bounded() -> None:
     store = Store()
     for n in range(30):
