--- a/dunehold/emulator/agents/passages.py
+++ b/dunehold/emulator/agents/passages.py
@@ -11,7 +11,6 @@
 @dataclass(slots=True)
 class Passages:
     cuts: Cuts = field(default_factory=Cuts)
-    healed: int = 0  # cuts that have ended so far
     _ended: asyncio.Event = field(default_factory=asyncio.Event)
 
     def begin(self, a: str, b: str, mode: Mode) -> None:
@@ -26,7 +25,6 @@
         self._wake()
 
     def _wake(self) -> None:
-        self.healed += 1
         self._ended.set()
         self._ended = asyncio.Event()
 
--- a/dunehold/emulator/commands.py
+++ b/dunehold/emulator/commands.py
@@ -216,12 +216,11 @@
 
 def _check(options: argparse.Namespace) -> int:
     scenario = load(options.scenario)
-    limits = {t.name: (t.cpus_max or None, t.gpus_max or None) for t in scenario.teams}
     try:
         events = sorted(history.read(options.history), key=lambda event: event.at)
     except OSError as error:
         raise ScenarioError(f"{options.history}: {error.strerror}") from None
-    summary = check(events, limits, scenario.workers.cancel_s, settled=True)
+    summary = check(events, scenario.limits(), scenario.workers.cancel_s, settled=True)
     print(f"{summary.jobs} jobs, {summary.starts} starts, {len(summary.breaches)} breaches")
     for breach in summary.breaches:
         print(f"BROKEN: {breach}")
--- a/dunehold/emulator/scenario.py
+++ b/dunehold/emulator/scenario.py
@@ -10,6 +10,8 @@
 
 from dunehold.emulator.faults import AnyFault, Cut, Orders
 
+MOST_CONTROLLERS = 15  # they have so many addresses
+
 
 class ScenarioError(Exception):
     """One line that names the field and the reason."""
@@ -121,6 +123,10 @@
     ram_mb: float = 266.0
     sockets: int = 1500
 
+    def limits(self) -> dict[str, tuple[float | None, float | None]]:
+        """Most CPUs and GPUs of each team; None for no limit."""
+        return {t.name: (t.cpus_max or None, t.gpus_max or None) for t in self.teams}
+
 
 def load(path: Path) -> Scenario:
     try:
@@ -143,8 +149,8 @@
 
 def _mistake(scenario: Scenario) -> str | None:
     """What types alone can't tell."""
-    if not 1 <= scenario.controllers <= 15:
-        return "controllers: must be 1 to 15"
+    if not 1 <= scenario.controllers <= MOST_CONTROLLERS:
+        return f"controllers: must be 1 to {MOST_CONTROLLERS}"
     if not scenario.zones or len(set(scenario.zones)) != len(scenario.zones):
         return "zones: must name at least one zone, each once"
     if not scenario.flavours:
--- a/dunehold/emulator/serve/cluster.py
+++ b/dunehold/emulator/serve/cluster.py
@@ -65,6 +65,8 @@
     _servers: list[HostServer | asyncio.Server] = field(default_factory=list)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _sink: Any = None
+    _log_read: dict[str, int] = field(default_factory=dict)  # bytes of each controller's log
+    _led: tuple[int, str] = (0, "")  # the highest token in a log so far, and whose
 
     def __post_init__(self) -> None:
         scenario = self.scenario
@@ -270,14 +272,17 @@
 
     def leader(self) -> str | None:
         """Who says last in its log that it leads."""
-        latest: tuple[int, str] | None = None
         for name, child in self.controllers.items():
-            for line in reversed(child.log.read_text(errors="replace").splitlines()):
+            with child.log.open("rb") as log:
+                log.seek(self._log_read.get(name, 0))
+                # A line that is still being written is read the next time.
+                whole = log.read().rpartition(b"\n")[0]
+            self._log_read[name] = self._log_read.get(name, 0) + len(whole)
+            for line in whole.decode(errors="replace").splitlines():
                 if " leads with token " in line:
                     token = int(line.rpartition(" leads with token ")[2].split(":")[0])
-                    latest = max(latest or (0, ""), (token, name))
-                    break
-        return None if latest is None else latest[1]
+                    self._led = max(self._led, (token, name))
+        return self._led[1] or None
 
     async def stop(self) -> None:
         """End everything that was started here, and only that."""
--- a/dunehold/emulator/serve/places.py
+++ b/dunehold/emulator/serve/places.py
@@ -11,7 +11,6 @@
 
 STATE_PORT, CLOUD_PORT, USER_PORT, PEER_PORT, WORKER_PORT = 2379, 8443, 8080, 8081, 9000
 CONTROL_PORT = 9400
-MOST_NODES, MOST_MACHINES = 15, 60_000
 STATE, CLOUD, USERS = "state", "cloud", "users"
 _A_ROW = 250  # last octets used of each third octet
 
--- a/dunehold/emulator/serve/play.py
+++ b/dunehold/emulator/serve/play.py
@@ -27,7 +27,6 @@
 from dunehold.transport.http import HttpClient
 
 SAMPLE_S = 1.0
-USER_LINKS = 512
 MOST_LATENCY_US = 120_000_000
 
 
@@ -123,11 +122,8 @@
         door = FrontDoor(self.cluster.places.door)
         self.users = Users(door, self.cluster.history, self.cluster.rng)
         self.users.submitted, self.users.asked = self._submitted, self._asked
-        limits = {
-            team.name: (team.cpus_max or None, team.gpus_max or None) for team in scenario.teams
-        }
         self.aims = Aims(scenario.objectives)
-        self.checker = Checker(limits, scenario.workers.cancel_s)
+        self.checker = Checker(scenario.limits(), scenario.workers.cancel_s)
 
     # -- what is seen --------------------------------------------------------------------
 
--- a/dunehold/emulator/serve/sockets.py
+++ b/dunehold/emulator/serve/sockets.py
@@ -47,14 +47,14 @@
     """One host's server: what a cut or a fault holds back is answered when it comes through."""
 
     name: str = ""
-    places: Places | None = None
+    places: Places = Places(0, ())
     passages: Passages = field(default_factory=Passages)
     delays: Delays = field(default_factory=Delays)
     _server: asyncio.Server | None = None
     dark: bool = False  # without power
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        source = self._source(str(writer.get_extra_info("peername")[0]))
+        source = self.places.name_of(str(writer.get_extra_info("peername")[0]))
         try:
             # An attempt to connect that a cut held up does not complete later.
             late = await self.passages.through(source, self.name)
@@ -65,9 +65,6 @@
             return
         await HttpServer._serve(self, reader, writer)
 
-    def _source(self, host: str) -> str:
-        return host if self.places is None else self.places.name_of(host)
-
     async def open(self, place: Place) -> None:
         self._server = await listen(self.start(place.host, place.port), place)
 
