Machines that a new leader never heard are not counted on

A part of the fleet lost along with the leader: the next one knew over a tenth of its machines only by name, judged the fleet's size as unknown, and rented nothing until the cloud's list lacked them, some 30 s later. Once it has heard others, and 4 s longer than it would call one silent, the rest is not counted on; what may run there stays on the books. The test of a long outage now keeps idle machines, so that only those taken for silent count.

--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/leader.py
@@ -572,4 +572,16 @@
         if not self.may_start() or now - self._stood_still_at < self.picture.silent_s:
             return False
         unknown = [h for h in self.ledger.unknown_hosts() if not self.fleet.written_off(h)]
-        return len(unknown) <= len(self.ledger.hosts) * SILENT_SHARE
+        if len(unknown) <= len(self.ledger.hosts) * SILENT_SHARE:
+            return True
+        if not self.heard or now - self.attentive_since < self._finding_s():
+            return False
+        # Guards against a part of the fleet that was lost along with the leader before: no
+        # work is placed on it, and none was rented for until the cloud's list lacked it.
+        log.info("token %d: %d machines not heard: not counted on", self.token, len(unknown))
+        self.fleet.silent_since = now
+        return True
+
+    def _finding_s(self) -> float:
+        """So long after a takeover all workers that can come have come."""
+        return FINDING_S * self.patience + self.picture.silent_s
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 
@@ -13,6 +14,7 @@
 from dunehold.coordination.node import Node
 from dunehold.coordination.relay import Relay
 from dunehold.emulator.model.cloud import Boots
+from dunehold.settings import Settings
 from tests import world as world_module
 from tests.virtual import VirtualLoop
 from tests.world import ZONES, NodeBox, RuleBroken, World
@@ -271,6 +273,14 @@
             play(seed, cuts)
 
 
+class Kept(World):
+    """Idle machines are not returned: whatever goes was taken for silent."""
+
+    def settings(self, index: int) -> Settings:
+        settings = super().settings(index)
+        return replace(settings, operator=replace(settings.operator, idle_return_s=1e4))
+
+
 async def long_outage(world: World) -> None:
     await asyncio.sleep(40.0)
     before = set(world.cloud.workers)
@@ -283,6 +293,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """After an outage, or a standstill, the whole fleet seemed to have been silent."""
+    monkeypatch.setattr("tests.test_rules.World", Kept)
     assert min(play(seed, long_outage).kept for seed in range(90, 93)) > 0.8
     monkeypatch.setattr(Leader, "_notice_standstill", lambda *_: None)
     assert min(play(seed, long_outage).kept for seed in range(90, 93)) < 0.7
@@ -336,6 +347,36 @@
     assert max(world.led for world in before) >= 3
 
 
+async def zone_lost_with_leader(world: World) -> None:
+    """The zone's machines stop, the leader with them; the list shows them for a while."""
+    await asyncio.sleep(40.0)
+    zone = ZONES[0]
+    hosts = world.cloud.cloud.hosts
+    lost = [name for name, host in hosts.items() if host.kind.hall == zone and host.up]
+    before = set(hosts)
+    for box in world.nodes:
+        if box.node is not None and box.node.leader is not None:
+            world.spawn(box.restart(20.0))
+    for name in lost:
+        world.cloud.remove(name, failed=True)
+    for kind in world.cloud.cloud.capacity:
+        world.cloud.cloud.capacity[kind] += 5
+    began = world.now()
+    while set(hosts) <= before and world.now() < began + 60.0:
+        await asyncio.sleep(0.1)
+    world.waited = world.now() - began
+
+
+def test_a_new_leader_does_not_count_on_machines_that_it_never_heard(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    mended = [play(seed, zone_lost_with_leader, nodes=5) for seed in (52, 53, 54)]
+    monkeypatch.setattr(Leader, "_finding_s", lambda _: 1e9)
+    before = [play(seed, zone_lost_with_leader, nodes=5) for seed in (52, 53, 54)]
+    waited = [sum(world.waited for world in worlds) for worlds in (mended, before)]
+    assert waited[0] < 0.8 * waited[1], waited
+
+
 async def handed_over(world: World) -> None:
     """How long nobody leads once a leader has given way by itself."""
     await asyncio.sleep(30.0)
