Jobs that wait for the write budget share keys, and so do their ends

Each job took two changes of the state service's budget. What waits now goes into packs that are never changed: the first of two records of a job stands, and who wrote one reads back which that is before telling a user. Ends of such jobs share keys too; spent packs are deleted when nothing else is to be written. A listing is brought up to date before anything is told from it, as its pages are of different moments. A job that fits no value gets 422, and one that the service refuses no longer takes its whole transaction along.

--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -13,6 +13,8 @@
   (preemption 1)
   (direct-commands 1)         ; 0: commands ride in report responses only
   (sick-after-errors 2)       ; errors in a row that quarantine a machine
+  ; -- state service
+  (pack-submissions 1)        ; 1: jobs that wait for the write budget share keys
   ; -- network
   (bind-outgoing 0)           ; 1: connections go out from the address of `bind`
   ; -- fleet
--- /dev/null
+++ b/dunehold/bookkeeping/packs/rows.py
@@ -0,0 +1,120 @@
+"""What a pack holds, and how much of it fits one value of the state service.
+
+A pack is written once and never changed: what it says is dated by its version, so that of
+two packs that tell of the same job every node finds the same one to be the first.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from dunehold.protocol import codec
+from dunehold.protocol.codec import BadMessage
+from dunehold.protocol.users import JobSpec, decode_job_object, encode_job
+from dunehold.types import JobId, WallTime
+
+FRAME_BYTES = 16  # what is around the rows
+ROW_BYTES = 2  # a comma, and the rounding of a time
+
+
+class Accepted(NamedTuple):
+    spec: JobSpec
+    at: WallTime
+
+
+class Ended(NamedTuple):
+    """A job all of whose tasks are done."""
+
+    id: JobId
+    tasks: int
+    accepted_at: WallTime
+
+
+@dataclass(slots=True)
+class Packer:
+    """Fills a value of at most ``room`` bytes with submissions.
+
+    A row holds only what differs from the row before: the jobs of a swarm are alike, and
+    come to a tenth of their size. Names of fields are the published ones, so that a field
+    added there needs nothing here.
+    """
+
+    room: int
+    rows: list[list[Any]] = field(default_factory=list)
+    size: int = FRAME_BYTES  # in bytes, rather too much than too little
+    _last: dict[str, Any] = field(default_factory=dict)
+
+    def add(self, accepted: Accepted) -> bool:
+        """False when it does not fit any more; the pack is as before then."""
+        full = encode_job(accepted.spec)
+        changed = {
+            name: value
+            for name, value in full.items()
+            if name not in self._last or self._last[name] != value
+        }
+        row = [accepted.at, changed]
+        size = len(codec.dump(row)) + ROW_BYTES
+        if self.size + size > self.room:
+            return False
+        self.size += size
+        self._last = full
+        self.rows.append(row)
+        return True
+
+    def value(self) -> dict[str, Any]:
+        return {"jobs": self.rows}
+
+
+def own_bytes(spec: JobSpec, at: WallTime) -> int:
+    """What one submission takes in a pack of its own; of any pack it takes no more."""
+    return FRAME_BYTES + ROW_BYTES + len(codec.dump([at, encode_job(spec)]))
+
+
+def decode_accepted(value: Any) -> list[Accepted]:
+    """BadMessage when anything in it is malformed: half a pack would be lost jobs."""
+    if not isinstance(value, dict):
+        raise BadMessage("pack of submissions")
+    found: list[Accepted] = []
+    last: dict[str, Any] = {}
+    for row in codec.lists(value, "jobs"):
+        if len(row) != 2 or not isinstance(row[1], dict):
+            raise BadMessage("pack of submissions: row")
+        last = {**last, **row[1]}
+        at = WallTime(codec.amount({"at": row[0]}, "at"))
+        found.append(Accepted(decode_job_object(last), at))
+    return found
+
+
+@dataclass(slots=True)
+class EndPacker:
+    """Fills a value of at most ``room`` bytes with ends."""
+
+    room: int
+    rows: list[list[Any]] = field(default_factory=list)
+    size: int = FRAME_BYTES
+
+    def add(self, ended: Ended) -> bool:
+        row = [ended.id, ended.tasks, ended.accepted_at]
+        size = len(codec.dump(row)) + ROW_BYTES
+        if self.size + size > self.room:
+            return False
+        self.size += size
+        self.rows.append(row)
+        return True
+
+    def value(self) -> dict[str, Any]:
+        return {"done": self.rows}
+
+
+def decode_ended(value: Any) -> list[Ended]:
+    if not isinstance(value, dict):
+        raise BadMessage("pack of ends")
+    found = []
+    for row in codec.lists(value, "done"):
+        if len(row) != 3:
+            raise BadMessage("pack of ends: row")
+        named = dict(zip(("job", "tasks", "at"), row, strict=True))
+        job, tasks = JobId(codec.text(named, "job")), codec.count(named, "tasks")
+        found.append(Ended(job, tasks, WallTime(codec.amount(named, "at"))))
+    return found
--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -33,6 +33,9 @@
 RENTALS = PREFIX + "rentals/"
 RELAYS = PREFIX + "relays/"
 STARTS = PREFIX + "starts/"
+PACKS = PREFIX + "packs/"  # many submissions to a key
+ENDS = PREFIX + "ends/"  # many ends to a key
+PACKING = PREFIX + "packing"  # whether packs of submissions may be written
 BROKEN = PREFIX + "broken"  # jobs that fail on every machine, for the next leader
 START_SLOTS = 256  # the log of starts is a ring of so many keys
 
@@ -54,7 +57,12 @@
 
 @dataclass(slots=True)
 class JobRecord:
-    """A job as the state service knows it."""
+    """A job as the state service knows it.
+
+    ``version`` is that of the job's own key, 0 if it has none. ``order`` is the version of
+    what says that the job is accepted or, once it is over, that it is. ``pack`` names the
+    pack that it was accepted in, if it was.
+    """
 
     id: JobId
     phase: JobPhase
@@ -63,6 +71,17 @@
     spec: JobSpec | None
     tasks: int
     marks: dict[int, int] = field(default_factory=dict)  # page -> bitmap of done tasks
+    order: Revision = Revision(0)
+    pack: str | None = None
+
+    def stands(self, other: JobRecord) -> bool:
+        """Against another record of the same job: an end before no end, the first of two.
+
+        Every node must find the same one, in whatever order it came to know of them.
+        """
+        if self.phase.final != other.phase.final:
+            return self.phase.final
+        return self.order <= other.order
 
     def done(self, index: int) -> bool:
         page, bit = divmod(index, PAGE_TASKS)
@@ -119,6 +138,7 @@
         WallTime(codec.amount(value, "at")),
         spec,
         spec.tasks if spec is not None else codec.count(value, "tasks"),
+        order=version,
     )
 
 
--- a/dunehold/bookkeeping/view.py
+++ b/dunehold/bookkeeping/view.py
@@ -6,9 +6,11 @@
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping import records
+from dunehold.bookkeeping.packs.rows import decode_accepted, decode_ended
+from dunehold.bookkeeping.packs.shelf import Shelf
 from dunehold.bookkeeping.records import HostRecord, JobRecord, LeaderRecord
 from dunehold.protocol.cloud import Rental
-from dunehold.protocol.state import Change, Entry
+from dunehold.protocol.state import ABSENT, Change, Entry
 from dunehold.types import (
     HostId,
     JobId,
@@ -29,6 +31,7 @@
     records.MARKS,
     records.RELAYS,
     records.BROKEN,
+    records.PACKING,
 )
 
 
@@ -52,9 +55,15 @@
     versions: dict[str, Revision] = field(default_factory=dict)
     broken: set[JobId] = field(default_factory=set)  # found to fail on every machine
     orphan_marks: dict[JobId, dict[int, int]] = field(default_factory=dict)
+    shelf: Shelf = field(default_factory=Shelf)
+    packing: bool = False  # packs may be written, by whichever node
 
     def load(self, entries: list[Entry], revision: Revision) -> None:
-        """Start over from a full listing."""
+        """Start over from a full listing.
+
+        Its pages may be of different moments: what changed since ``revision``, that of the
+        first, must be applied before anything is told from the view.
+        """
         fresh = View()
         for entry in entries:
             fresh._apply_one(Change(entry.key, entry.value, entry.version, False))
@@ -72,13 +81,11 @@
         touched: list[JobId] = []
         for change in changes:
             if change.version > self.applied:
-                job = self._apply_one(change)
-                if job is not None:
-                    touched.append(job)
+                touched += self._apply_one(change)
         self.applied = max(self.applied, revision)
         return touched
 
-    def _apply_one(self, change: Change) -> JobId | None:
+    def _apply_one(self, change: Change) -> list[JobId]:
         key = change.key
         if key.startswith(VERSIONED):
             if change.deleted:
@@ -88,6 +95,10 @@
         try:
             if key.startswith(records.JOBS):
                 return self._apply_job(JobId(key[len(records.JOBS) :]), change)
+            if key.startswith(records.PACKS):
+                return self._apply_pack(key[len(records.PACKS) :], change)
+            if key.startswith(records.ENDS):
+                return self._apply_ends(change)
             if key.startswith(records.MARKS):
                 return self._apply_mark(key[len(records.MARKS) :], change)
             if key.startswith(records.HOSTS):
@@ -107,6 +118,8 @@
                     self.rentals[rental] = records.decode_rental(rental, change.value)
             elif key == records.BROKEN:
                 self.broken = set() if change.deleted else records.decode_broken(change.value)
+            elif key == records.PACKING:
+                self.packing = not change.deleted and bool(change.value)
             elif key == records.LEADER_KEY:
                 self.leader = (
                     None
@@ -120,25 +133,70 @@
             log.error("key %s is not readable: %s", key, error)
         except Exception as error:  # a value written by something else must not end us
             log.error("key %s is not readable: %r", key, error)
-        return None
+        return []
 
-    def _apply_job(self, job: JobId, change: Change) -> JobId | None:
+    def _apply_job(self, job: JobId, change: Change) -> list[JobId]:
         if change.deleted:
-            return None  # never done by dunehold: an accepted job is kept
+            return []  # never done by dunehold: an accepted job is kept
         record = records.decode_job_record(job, change.value, change.version)
         old = self.jobs.get(job)
         if old is not None:
-            record.marks = old.marks
+            old.version = record.version  # whichever of them stands
+        self._settle(record)
+        return [job]
+
+    def _settle(self, record: JobRecord) -> None:
+        """Take the record up, unless what is known already stands against it."""
+        old = self.jobs.get(record.id)
+        if old is None:
+            record.marks = self.orphan_marks.pop(record.id, {})
+        elif old.stands(record):
+            return
         else:
-            record.marks = self.orphan_marks.pop(job, {})
-        self.jobs[job] = record
+            record.marks = old.marks
+            record.version = old.version
+            if old.pack is not None and old.pack != record.pack:
+                self.shelf.ended(old.pack, record.id)
+        self.jobs[record.id] = record
         if record.phase is JobPhase.ACTIVE:
-            self.active[job] = record
+            self.active[record.id] = record
         else:
-            self.active.pop(job, None)
-        return job
+            self.active.pop(record.id, None)
 
-    def _apply_mark(self, rest: str, change: Change) -> JobId | None:
+    def _apply_pack(self, pack: str, change: Change) -> list[JobId]:
+        if change.deleted:
+            self.shelf.deleted(pack)  # its jobs stay: all of them are over
+            return []
+        ours = set()
+        accepted = decode_accepted(change.value)
+        for spec, at in accepted:
+            self._settle(
+                JobRecord(
+                    spec.id,
+                    JobPhase.ACTIVE,
+                    ABSENT,
+                    at,
+                    spec,
+                    spec.tasks,
+                    order=change.version,
+                    pack=pack,
+                )
+            )
+            if self.jobs[spec.id].pack == pack:
+                ours.add(spec.id)
+        self.shelf.put(pack, ours)
+        return [spec.id for spec, _ in accepted]
+
+    def _apply_ends(self, change: Change) -> list[JobId]:
+        if change.deleted:
+            return []
+        ended = decode_ended(change.value)
+        for job, tasks, at in ended:
+            done = JobRecord(job, JobPhase.DONE, ABSENT, at, None, tasks, order=change.version)
+            self._settle(done)
+        return [end.id for end in ended]
+
+    def _apply_mark(self, rest: str, change: Change) -> list[JobId]:
         name, _, page = rest.rpartition("/")
         job = JobId(name)
         record = self.jobs.get(job)
@@ -147,7 +205,7 @@
             marks.pop(int(page), None)
         else:
             marks[int(page)] = records.decode_bitmap(change.value)
-        return job
+        return [job]
 
     def _apply_relay(self, node: NodeId, change: Change) -> None:
         record = self.relays.pop(node, None)
--- /dev/null
+++ b/dunehold/coordination/ends.py
@@ -0,0 +1,104 @@
+"""Ends of jobs that came in packs, many to a key; and packs that are not needed any more."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import islice
+
+from dunehold.bookkeeping import records
+from dunehold.bookkeeping.packs.rows import Ended, EndPacker
+from dunehold.bookkeeping.records import JobRecord
+from dunehold.bookkeeping.view import View
+from dunehold.protocol.state import ABSENT, Priority, StateClient, Txn
+from dunehold.settings import Settings
+from dunehold.types import Revision, Token
+
+VALUE_SHARE = 0.75  # of a value's size is filled; how the state service counts may differ
+CALM_S = 30.0  # without a new pack: submissions get keys of their own again
+
+
+@dataclass(slots=True)
+class Ends:
+    """Packs of ends of one term, named by its token: no other term uses these names."""
+
+    settings: Settings
+    view: View
+    token: Token
+    _count: int = 0
+    _txn: Txn | None = None
+    _packer: EndPacker | None = None
+
+    def add(self, txn: Txn, record: JobRecord, space: int) -> bool:
+        """Put the end of an active job into the transaction; false if there is no room.
+
+        Nothing guards it against a cancellation that this node has not seen yet: whichever
+        was first stands for every node, and a user is told of a cancellation only after
+        that has been read back.
+        """
+        if txn is not self._txn:
+            self._txn, self._packer = txn, None
+        ended = Ended(record.id, record.tasks, record.accepted_at)
+        if self._packer is None or not self._packer.add(ended):
+            if space < 1:
+                return False
+            self._packer = EndPacker(int(self.settings.value_bytes * VALUE_SHARE))
+            self._packer.add(ended)
+            self._count += 1
+            key = f"{records.ENDS}{self.token}.{self._count}"
+            txn.guards[key] = ABSENT
+            txn.puts[key] = self._packer.value()  # shares the rows that are still to come
+        return True
+
+
+@dataclass(slots=True)
+class Sweeper:
+    """Deletes packs of submissions all of whose jobs are over, when nothing else is to be
+    written. A job that is over is on record by its end."""
+
+    settings: Settings
+    state: StateClient
+    view: View
+    leader_version: Revision
+    clock: Callable[[], float]
+    _asked: set[str] = field(default_factory=set)
+    _shelved: tuple[int, float] = (-1, 0.0)  # packs that ever came, and since when no more
+
+    def transaction(self) -> Txn | None:
+        """What can be deleted right now without keeping anybody waiting."""
+        txn = self._deletes()
+        if self._calm() and self.state.writes.wait_s(1.0) <= 0:
+            txn = txn or self._guarded()
+            # Own keys need no reading back again.
+            txn.puts[records.PACKING] = False
+            txn.guards[records.PACKING] = self.view.versions.get(records.PACKING, ABSENT)
+        return txn
+
+    def _calm(self) -> bool:
+        now, count = self.clock(), self.view.shelf.count
+        if count != self._shelved[0]:
+            self._shelved = count, now
+        return self.view.packing and now - self._shelved[1] > CALM_S
+
+    def _guarded(self) -> Txn:
+        return Txn(guards={records.LEADER_KEY: self.leader_version})
+
+    def _deletes(self) -> Txn | None:
+        self._asked &= self.view.shelf.spent.keys()
+        names = [name for name in self.view.shelf.spent if name not in self._asked]
+        names = list(islice(names, max(1, self.settings.txn_ops // 2)))
+        if not names or self.state.writes.wait_s(float(len(names))) > 0:
+            return None
+        txn = self._guarded()
+        txn.deletes = {records.PACKS + name for name in names}
+        return txn
+
+    async def sweep(self) -> bool:
+        """True if something was deleted; raises what the state service's client raises."""
+        txn = self.transaction()
+        if txn is None:
+            return False
+        result = await self.state.txn(txn, Priority.BULK)
+        if result.ok:  # shows in the view later: not to be asked for twice
+            self._asked |= {key[len(records.PACKS) :] for key in txn.deletes}
+        return result.ok
--- a/dunehold/coordination/intake.py
+++ b/dunehold/coordination/intake.py
@@ -6,17 +6,18 @@
 import logging
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from dunehold.bookkeeping import records
 from dunehold.bookkeeping.ledger import host_allowed
 from dunehold.bookkeeping.records import JobRecord
 from dunehold.bookkeeping.view import View
+from dunehold.coordination.submissions import Submissions
 from dunehold.coordination.sync import TROUBLE, Sync
-from dunehold.protocol import codec, users
+from dunehold.protocol import users
 from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.codec import BadMessage
-from dunehold.protocol.state import ABSENT, MAX_TXN_BYTES, Priority, StateClient, Txn
+from dunehold.protocol.state import Priority, StateClient, Txn
 from dunehold.protocol.users import JobSpec
 from dunehold.settings import Settings
 from dunehold.transport.http import Request, Response
@@ -29,7 +30,6 @@
 LATEST_S = 2.0  # after the question: nobody waits any longer, and proofs have aged
 LONGEST_QUEUE_S = 0.5  # for the write budget; who would wait longer is told at once
 NOT_FOUND = Response(404, users.encode_error("no such job"))
-MAX_PENDING = 2000
 MAX_RETRY_S = 10
 CANCEL_TRIES = 4
 
@@ -66,13 +66,6 @@
         raise Impossible("spread: contradicts together")
 
 
-@dataclass(slots=True)
-class _Submission:
-    spec: JobSpec
-    at: WallTime
-    future: asyncio.Future[bool | None]  # created, known already, or undecided
-
-
 @dataclass(slots=True)
 class Intake:
     settings: Settings
@@ -82,8 +75,7 @@
     types: Callable[[], dict[TypeName, MachineType] | None]
     running: Callable[[JobId], Awaitable[int]]
     wall: Callable[[], float]
-    _pending: dict[JobId, _Submission] = field(default_factory=dict)
-    _flush_task: asyncio.Task[None] | None = None
+    submissions: Submissions
 
     async def handle(self, request: Request) -> Response | None:
         """The answer to a user's request, or None when it is not a user's."""
@@ -158,18 +150,15 @@
             if spec.id in self.view.jobs:
                 return await self._get(spec.id)
             return Response(422, users.encode_error(str(error)))
-        queued_s = self.state.writes.wait_s(1.0 + len(self._pending))
-        if len(self._pending) >= MAX_PENDING or queued_s > LONGEST_QUEUE_S:
+        at = WallTime(round(self.wall(), 3))
+        if self.submissions.too_large(spec, at):
+            most = self.settings.value_bytes
+            return Response(422, users.encode_error(f"takes more than {most} bytes"))
+        queued_s = self.submissions.wait_s()
+        if self.submissions.full() or queued_s > LONGEST_QUEUE_S:
             later = min(MAX_RETRY_S, math.ceil(queued_s))
             return Response(503, users.encode_error("too many at once"), retry_after=later)
-        entry = self._pending.get(spec.id)
-        if entry is None:
-            future: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
-            entry = _Submission(spec, WallTime(round(self.wall(), 3)), future)
-            self._pending[spec.id] = entry
-            if self._flush_task is None or self._flush_task.done():
-                self._flush_task = asyncio.create_task(self._flush())
-        created = await asyncio.shield(entry.future)
+        created = await self.submissions.write(spec, at)
         if created is None:
             return BUSY
         if not created:
@@ -184,46 +173,6 @@
         )
         return Response(201, users.encode_state(spec.id, "queued"))
 
-    async def _flush(self) -> None:
-        """Write waiting submissions, many to a transaction, until none waits."""
-        while self._pending:
-            batch: list[_Submission] = []
-            txn = Txn()
-            size = 0
-            for entry in self._pending.values():
-                value = records.encode_job_record(entry.spec, JobPhase.ACTIVE, entry.at)
-                size += len(codec.dump(value)) + 300
-                if batch and (len(batch) >= self.settings.txn_ops or size > MAX_TXN_BYTES):
-                    break
-                key = records.job_key(entry.spec.id)
-                txn.guards[key] = ABSENT
-                txn.puts[key] = value
-                batch.append(entry)
-            try:
-                result = await self.state.txn(txn, Priority.USER)
-                if not result.ok:
-                    await self.sync.barrier()
-            except TROUBLE as error:
-                log.info("submissions not written, to be retried by their users: %s", error)
-                for entry in batch:
-                    self._settle(entry, None)
-                continue
-            except Exception:
-                log.exception("submissions not written")
-                for entry in batch:
-                    self._settle(entry, None)
-                continue
-            for entry in batch:
-                if result.ok:
-                    self._settle(entry, True)
-                elif entry.spec.id in self.view.jobs:
-                    self._settle(entry, False)
-
-    def _settle(self, entry: _Submission, created: bool | None) -> None:
-        self._pending.pop(entry.spec.id, None)
-        if not entry.future.done():
-            entry.future.set_result(created)
-
     # -- cancellations -----------------------------------------------------------------
 
     async def _cancel(self, job: JobId) -> Response:
@@ -249,7 +198,10 @@
                 result = await self.state.txn(txn, Priority.USER)
                 if result.ok:
                     log.info("job %s cancelled by its user", job)
-                    return Response(200, users.encode_state(job, "cancelled"))
+                    if record.pack is None:
+                        return Response(200, users.encode_state(job, "cancelled"))
+                # The end of a job that came in a pack has no key that a cancellation could
+                # be guarded by: whichever was first stands.
                 await self.sync.barrier()
             except TROUBLE:
                 return BUSY
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -18,6 +18,7 @@
 from dunehold.coordination.leader import DIRECT_SOCKET_SHARE, Leader
 from dunehold.coordination.recorder import Recorder
 from dunehold.coordination.relay import Relay
+from dunehold.coordination.submissions import Submissions
 from dunehold.coordination.sync import TROUBLE, Sync
 from dunehold.protocol import peers, users, workers
 from dunehold.protocol.cloud import CloudClient, CloudTrouble, MachineType, NoCapacity
@@ -146,6 +147,7 @@
             lambda: self.types,
             self._running,
             self.wall,
+            Submissions(settings, self.state, self.view, self.sync, self.incarnation),
         )
 
     def _shares(self, leading: bool) -> tuple[float, float]:
@@ -472,6 +474,7 @@
             self.view,
             ledger,
             self.leader_version,
+            token,
             lambda: self.leader.make_dirty() if self.leader is not None else None,
             lambda hosts: self.leader.starts_logged(hosts) if self.leader is not None else None,
             max(LEAST_FLUSH_GAP_S, FLUSH_COST / self._shares(leading=True)[1]),
--- a/dunehold/coordination/recorder.py
+++ b/dunehold/coordination/recorder.py
@@ -12,12 +12,13 @@
 from dunehold.bookkeeping.ledger import Ledger, Run
 from dunehold.bookkeeping.records import HostRecord, JobRecord
 from dunehold.bookkeeping.view import VERSIONED, View
+from dunehold.coordination.ends import Ends, Sweeper
 from dunehold.coordination.sync import TROUBLE, Sync
 from dunehold.protocol.cloud import Rental
 from dunehold.protocol.state import ABSENT, MAX_TXN_BYTES, Priority, StateClient, Txn
 from dunehold.settings import Settings
 from dunehold.transport.http import NoResponse
-from dunehold.types import AttemptId, HostId, JobId, RentalId, Revision
+from dunehold.types import AttemptId, HostId, JobId, RentalId, Revision, Token
 
 log = logging.getLogger(__name__)
 
@@ -55,6 +56,7 @@
     view: View
     ledger: Ledger
     leader_version: Revision
+    token: Token
     on_written: Callable[[], None]
     on_logged: Callable[[Iterable[HostId]], None]
     flush_gap_s: float
@@ -65,11 +67,23 @@
     ended_rentals: dict[RentalId, None] = field(default_factory=dict)
     starts: dict[AttemptId, Run] = field(default_factory=dict)
     new_broken: set[JobId] | None = None  # to be written
+    ends: Ends = field(init=False)
+    sweeper: Sweeper = field(init=False)
     _in_doubt: set[str] = field(default_factory=set)  # keys with a write that may come late
     _slot: int = 0  # of the log of starts, written next
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _written: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def __post_init__(self) -> None:
+        self.ends = Ends(self.settings, self.view, self.token)
+        self.sweeper = Sweeper(
+            self.settings,
+            self.state,
+            self.view,
+            self.leader_version,
+            lambda: asyncio.get_running_loop().time(),
+        )
+
     def job(self, job: JobId, whole: bool) -> None:
         """The end of a job is written at once, the marks of one that goes on some time later.
 
@@ -139,6 +153,9 @@
                 except TROUBLE as error:
                     log.debug("records not written yet: %s", error)
                     await asyncio.sleep(RETRY_S)
+            with contextlib.suppress(*TROUBLE):  # tried again in a second
+                while not self._pending() and await self.sweeper.sweep():
+                    await asyncio.sleep(self.flush_gap_s)
 
     def _pending(self) -> bool:
         return bool(
@@ -350,8 +367,11 @@
         # The job's version guards against calling a job done that its user has cancelled.
         key = records.job_key(job)
         if self._finished(record):
-            txn.guards[key] = record.version
-            txn.puts[key] = records.encode_done(record)
+            if record.pack is None:
+                txn.guards[key] = record.version
+                txn.puts[key] = records.encode_done(record)
+            elif not self.ends.add(txn, record, space):
+                return False
             for page in list(record.marks)[: max(0, space - 1)]:
                 txn.deletes.add(records.mark_key(job, page))
             log.info("job %s: all %d tasks done", job, record.tasks)
--- /dev/null
+++ b/dunehold/coordination/submissions.py
@@ -0,0 +1,268 @@
+"""Accepted jobs on their way to the state service: one write for many that wait together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import islice
+
+from dunehold.bookkeeping import records
+from dunehold.bookkeeping.packs.rows import Accepted, Packer, own_bytes
+from dunehold.bookkeeping.view import View
+from dunehold.coordination.sync import TROUBLE, Sync
+from dunehold.protocol import codec
+from dunehold.protocol.state import (
+    ABSENT,
+    MAX_TXN_BYTES,
+    Malformed,
+    Priority,
+    StateClient,
+    Txn,
+)
+from dunehold.protocol.users import JobSpec
+from dunehold.settings import Settings
+from dunehold.types import JobId, JobPhase, WallTime
+
+log = logging.getLogger(__name__)
+
+MAX_PENDING = 2000
+LEAST_PACKED = 2  # jobs that wait for the budget
+MOST_ROWS = 512  # to a transaction, so that building it never keeps the loop for long
+VALUE_SHARE = 0.75  # of a value's size is filled; how the state service counts may differ
+
+
+@dataclass(slots=True)
+class _Submission:
+    spec: JobSpec
+    at: WallTime
+    bytes: int
+    future: asyncio.Future[bool | None]  # created, known already, or undecided
+    alone: bool = False  # a transaction with it was malformed: others must not share that
+
+
+@dataclass(slots=True)
+class _Batch:
+    txn: Txn
+    entries: list[_Submission]
+    read_back: bool = False  # another record of the same job may have come first
+    pack_of: dict[JobId, str] = field(default_factory=dict)  # of those without an own key
+
+
+@dataclass(slots=True)
+class Submissions:
+    """Writes what waits, as few keys as the state service's budget allows.
+
+    While the budget keeps up, each job gets its own key, guarded by its absence. As soon as
+    jobs wait for the budget they go into packs. Nothing can guard a pack against a pack of
+    another node with the same job, so while packs may be written (one key says so, and
+    guards every submission) each node reads back which of two records is the first, and
+    only then tells its users.
+    """
+
+    settings: Settings
+    state: StateClient
+    view: View
+    sync: Sync
+    incarnation: str  # of this process: names of packs are never used again
+    _pending: dict[JobId, _Submission] = field(default_factory=dict)
+    _bytes: int = 0  # of all that is pending, each by itself
+    _shrunk: float = 1.0  # what packing made of it lately
+    _packs: int = 0
+    _asked: int = 0  # changes that are waited for
+    _short: bool = False  # the budget does not hold a key for each
+    _task: asyncio.Task[None] | None = None
+
+    @property
+    def packing(self) -> bool:
+        return bool(self.settings.operator.pack_submissions)
+
+    @property
+    def _room(self) -> int:
+        return int(self.settings.value_bytes * VALUE_SHARE)
+
+    def too_large(self, spec: JobSpec, at: WallTime) -> bool:
+        """No value of the state service could hold it."""
+        value = records.encode_job_record(spec, JobPhase.ACTIVE, at)
+        return len(codec.dump(value)) > self.settings.value_bytes
+
+    def full(self) -> bool:
+        return len(self._pending) >= MAX_PENDING
+
+    def wait_s(self) -> float:
+        """How long one more would wait for the write budget."""
+        changes = 1 + len(self._pending)
+        if self.packing:
+            changes = min(changes, self._packed_changes())
+        return self.state.writes.wait_s(max(0.0, changes - self._asked))
+
+    async def write(self, spec: JobSpec, at: WallTime) -> bool | None:
+        """True: accepted just now. False: known before. None: nobody can tell yet."""
+        entry = self._pending.get(spec.id)
+        if entry is None:
+            future: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
+            entry = _Submission(spec, at, own_bytes(spec, at), future)
+            self._pending[spec.id] = entry
+            self._bytes += entry.bytes
+            if self._task is None or self._task.done():
+                self._task = asyncio.create_task(self._flush())
+        return await asyncio.shield(entry.future)
+
+    # -- transactions ------------------------------------------------------------------
+
+    async def _flush(self) -> None:
+        while self._pending:
+            batch: _Batch | None = None
+            try:
+                paid = self._asked = self._changes()
+                # Who comes while this waits shares what is paid for.
+                await self.state.writes.take(Priority.USER, paid)
+                self._asked = 0
+                batch = self._build(paid)
+                self.state.writes.give_back(paid - batch.txn.size)
+                if batch.entries:
+                    await self._commit(batch)
+            except Malformed as error:
+                log.error(
+                    "%d submissions refused: %s", len(batch.entries) if batch else 0, error
+                )
+                self._part(batch)
+            except TROUBLE as error:
+                log.info("submissions not written, to be retried by their users: %s", error)
+                self._settle_all(batch, None)
+            except Exception:
+                log.exception("submissions not written")
+                self._settle_all(batch, None)
+
+    async def _commit(self, batch: _Batch) -> None:
+        result = await self.state.txn(batch.txn, Priority.USER, paid=True)
+        if not result.ok or batch.read_back:
+            await self.sync.barrier()
+        for entry in batch.entries:
+            job = entry.spec.id
+            if result.ok:
+                self._settle(entry, self._ours(batch, job))
+            elif job in self.view.jobs:
+                self._settle(entry, False)
+
+    def _ours(self, batch: _Batch, job: JobId) -> bool:
+        if not batch.read_back:
+            return True
+        record = self.view.jobs.get(job)
+        return record is not None and record.pack == batch.pack_of.get(job)
+
+    def _packed_changes(self) -> int:
+        """The pending ones and one more like them."""
+        rows = self._bytes * self._shrunk * (1 + 1 / max(1, len(self._pending)))
+        return max(1, math.ceil(rows / self._room)) + (not self.view.packing)
+
+    def _changes(self) -> int:
+        """How many changes to pay for: no more than the transaction will make, mostly."""
+        count = len(self._pending)
+        self._short = self.state.writes.wait_s(count) > 0
+        if self._packs_wanted(count):
+            count = min(self._packed_changes(), MAX_TXN_BYTES // self._room)
+        return max(1, min(count, self.settings.txn_ops))
+
+    def _packs_wanted(self, count: int) -> bool:
+        """While packs may be written even a lone job goes into one: it costs no more, and
+        its end can share a key."""
+        return self.packing and (self.view.packing or (self._short and count >= LEAST_PACKED))
+
+    def _build(self, paid: int) -> _Batch:
+        for entry in list(self._pending.values()):
+            if entry.spec.id in self.view.jobs:  # through another node, in the meantime
+                self._settle(entry, False)
+        waiting = list(islice(self._pending.values(), MOST_ROWS))
+        apart = next((entry for entry in waiting if entry.alone), None)
+        if apart is not None:
+            return self._singles([apart], 1)
+        packs = paid - (not self.view.packing)
+        if packs > 0 and self._packs_wanted(len(waiting)):
+            return self._packed(waiting, packs)
+        return self._singles(waiting, paid)
+
+    def _singles(self, waiting: Iterable[_Submission], most: int) -> _Batch:
+        batch = _Batch(Txn(), [], read_back=self.view.packing)
+        size = 0
+        for entry in waiting:
+            size += entry.bytes + 300
+            if batch.entries and (len(batch.entries) >= most or size > MAX_TXN_BYTES):
+                break
+            key = records.job_key(entry.spec.id)
+            batch.txn.guards[key] = ABSENT
+            batch.txn.puts[key] = records.encode_job_record(
+                entry.spec, JobPhase.ACTIVE, entry.at
+            )
+            batch.entries.append(entry)
+        if batch.entries:
+            # If packs may be written, though this node does not know, one may hold these jobs.
+            self._guard_mode(batch.txn)
+        return batch
+
+    def _guard_mode(self, txn: Txn) -> None:
+        txn.guards[records.PACKING] = self.view.versions.get(records.PACKING, ABSENT)
+
+    def _packed(self, waiting: list[_Submission], most: int) -> _Batch:
+        """Alike jobs side by side, so that rows are short; the oldest are among them."""
+        batch = _Batch(Txn(), [], read_back=True)
+        waiting = sorted(waiting, key=lambda e: (e.spec.team, e.spec.job_class, e.at))
+        packer, name = Packer(self._room), self._next_name()
+        filled = before = 0
+        for entry in waiting:
+            row = Accepted(entry.spec, entry.at)
+            if not packer.add(row):
+                if not packer.rows:
+                    entry.alone = True  # too large to share a value
+                    continue
+                filled += self._close(batch.txn, name, packer)
+                if len(batch.txn.puts) >= most:
+                    break  # the rest waits for the next
+                packer, name = Packer(self._room), self._next_name()
+                if not packer.add(row):
+                    entry.alone = True
+                    continue
+            before += entry.bytes
+            batch.entries.append(entry)
+            batch.pack_of[entry.spec.id] = name
+        else:
+            if packer.rows:
+                filled += self._close(batch.txn, name, packer)
+        if batch.entries:
+            self._guard_mode(batch.txn)  # a pack that comes late may not be read back any more
+            if not self.view.packing:
+                batch.txn.puts[records.PACKING] = True
+            self._shrunk = min(1.0, max(0.02, filled / before))
+        return batch
+
+    def _close(self, txn: Txn, name: str, packer: Packer) -> int:
+        key = records.PACKS + name
+        txn.guards[key] = ABSENT
+        txn.puts[key] = packer.value()
+        return packer.size
+
+    def _next_name(self) -> str:
+        self._packs += 1
+        return f"{self.incarnation}.{self._packs}"
+
+    # -- what becomes of them ------------------------------------------------------------
+
+    def _part(self, batch: _Batch | None) -> None:
+        """One of them is at fault: each is tried by itself, and only that one fails."""
+        if batch is None or len(batch.entries) <= 1:
+            self._settle_all(batch, None)
+            return
+        for entry in batch.entries:
+            entry.alone = True
+
+    def _settle_all(self, batch: _Batch | None, created: bool | None) -> None:
+        for entry in list(self._pending.values()) if batch is None else batch.entries:
+            self._settle(entry, created)
+
+    def _settle(self, entry: _Submission, created: bool | None) -> None:
+        if self._pending.pop(entry.spec.id, None) is not None:
+            self._bytes -= entry.bytes
+        if not entry.future.done():
+            entry.future.set_result(created)
--- a/dunehold/coordination/sync.py
+++ b/dunehold/coordination/sync.py
@@ -44,9 +44,15 @@
         async with self._load_lock:
             if self.view.loaded:
                 return
-            sent = asyncio.get_running_loop().time()
             entries, revision = await self.state.entries(records.PREFIX, Priority.LEADER)
+            sent = asyncio.get_running_loop().time()
+            # The pages of a listing are of different moments: of two records of one job the
+            # later might be there without the first. Nothing is told before they agree.
+            changes, latest = await self.state.changes(
+                records.PREFIX, revision, 0.0, Priority.LEADER
+            )
             self.view.load(entries, revision)
+            self.view.apply(changes, latest)
             self.proved_at = MonotonicTime(sent)
             self.on_change(list(self.view.jobs))
             log.info("view loaded: %d jobs, revision %d", len(self.view.jobs), revision)
--- a/dunehold/protocol/codec.py
+++ b/dunehold/protocol/codec.py
@@ -72,6 +72,13 @@
     return value
 
 
+def lists(row: dict[str, Any], key: str) -> list[list[Any]]:
+    value = row.get(key)
+    if not isinstance(value, list) or not all(isinstance(item, list) for item in value):
+        raise BadMessage(f"{key} must be a list of lists")
+    return value
+
+
 def rows(row: dict[str, Any], key: str) -> list[dict[str, Any]]:
     value = row.get(key)
     if value is None:
--- a/dunehold/protocol/state.py
+++ b/dunehold/protocol/state.py
@@ -34,6 +34,10 @@
     """Refused: it was not executed."""
 
 
+class Malformed(Unavailable):
+    """The request itself is at fault; the same one will be refused again."""
+
+
 class LeaseGone(Exception):
     """The lease has ended."""
 
@@ -146,9 +150,12 @@
                 return found, revision
             after = found[-1].key
 
-    async def txn(self, txn: Txn, priority: int) -> TxnResult:
-        """NoResponse: it may have been applied, or may yet be applied later."""
-        if txn.size:
+    async def txn(self, txn: Txn, priority: int, paid: bool = False) -> TxnResult:
+        """NoResponse: it may have been applied, or may yet be applied later.
+
+        ``paid``: its changes have been taken from the budget of writes already.
+        """
+        if txn.size and not paid:
             await self.writes.take(priority, txn.size)
         status, row = await self._call("POST", "/txn", txn.encode(), priority)
         if status == 200:
@@ -159,6 +166,8 @@
             return TxnResult(Revision(codec.count(row, "epoch")), keys or ("?",))
         if status == 400 and row.get("error") == "no such lease":
             raise LeaseGone
+        if status == 400:
+            raise Malformed(f"txn: {row.get('error')}")
         raise Unavailable(f"txn: status {status} {row.get('error')}")
 
     async def grant(self, life: Duration, priority: int) -> LeaseId:
--- a/dunehold/settings.py
+++ b/dunehold/settings.py
@@ -78,6 +78,7 @@
     direct_commands: int = 1
     preemption: int = 1
     bind_outgoing: int = 0
+    pack_submissions: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/dunehold/transport/budget.py
+++ b/dunehold/transport/budget.py
@@ -33,6 +33,12 @@
         self._serve()
         await future
 
+    def give_back(self, amount: float) -> None:
+        """What was taken and not used."""
+        self._fill()
+        self._level = min(self.burst, self._level + max(0.0, amount))
+        self._serve()
+
     def set_rate(self, rate: float, burst: float) -> None:
         """From now on; what was saved up stays, as far as it fits."""
         self._fill()
--- /dev/null
+++ b/tests/test_packs.py
@@ -0,0 +1,380 @@
+"""Jobs that share keys: what a pack holds, and that every node finds the same job first."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+from urllib.parse import quote
+
+import orjson
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from dunehold.bookkeeping import records
+from dunehold.bookkeeping.packs.rows import (
+    Accepted,
+    Ended,
+    EndPacker,
+    Packer,
+    decode_accepted,
+    decode_ended,
+    own_bytes,
+)
+from dunehold.bookkeeping.view import View
+from dunehold.coordination.ends import Ends, Sweeper
+from dunehold.coordination.submissions import Submissions, _Batch, _Submission
+from dunehold.emulator.model.base import Reply
+from dunehold.emulator.model.store import Limits, Store
+from dunehold.protocol import codec
+from dunehold.protocol.codec import BadMessage
+from dunehold.protocol.state import Change, Entry, Txn
+from dunehold.protocol.users import JobSpec, decode_job
+from dunehold.types import JobId, JobPhase, Revision, Token, WallTime
+from tests.test_rules import bad_nights, crashes, cuts, outages, play, quiet
+from tests.world import World
+
+NOW = WallTime(1764547200.125)
+TEXT = st.text(st.characters(min_codepoint=32, max_codepoint=0x10FF), min_size=1, max_size=40)
+
+
+def row(number: int, **changed: Any) -> dict[str, Any]:
+    return {
+        "uid": f"job-{number:06d}", "jobclass": "quick", "owner": "blue", "shape": "batch",
+        "rank": "high", "units": 1, "vcpus": 1.0, "gpus": 0.0, "memory_gb": 1.0,
+        "bundle": "img-1", "size_gb": 0.5, "flavours": None, "hall": None, "together": False,
+        "spread": False, "loaner": True, "expect_s": 4.0, "snapshot_s": 0.0, "flush_s": 0.5,
+        "due_s": None, **changed,
+    }  # fmt: skip
+
+
+def spec(number: int, **changed: Any) -> JobSpec:
+    return decode_job(orjson.dumps(row(number, **changed)))
+
+
+CHANGES = st.fixed_dictionaries(
+    {},
+    optional={
+        "jobclass": TEXT,
+        "owner": TEXT,
+        "rank": st.sampled_from(["critical", "high", "normal", "idle"]),
+        "shape": st.sampled_from(["batch", "standing", "gang"]),
+        "units": st.integers(1, 100_000),
+        "vcpus": st.floats(0.1, 1e6),
+        "bundle": TEXT,
+        "flavours": st.none() | st.lists(TEXT, min_size=1, max_size=4),
+        "hall": st.none() | TEXT,
+        "due_s": st.none() | st.floats(0.0, 1e9),
+        "expect_s": st.floats(0.0, 1e9),
+    },
+)
+
+
+# -- what a pack holds ---------------------------------------------------------------------
+
+
+@given(st.lists(CHANGES, min_size=1, max_size=30), st.integers(900, 4096))
+@settings(max_examples=60, deadline=None)
+def test_a_pack_gives_back_what_was_put_in_and_fits(
+    changes: list[dict[str, Any]], room: int
+) -> None:
+    packer = Packer(room)
+    jobs = [Accepted(spec(n, **c), WallTime(NOW + n)) for n, c in enumerate(changes)]
+    kept = [job for job in jobs if packer.add(job)]
+    value = codec.load(codec.dump(packer.value()))
+    assert len(codec.dump(value)) <= packer.size <= room
+    assert decode_accepted(value) == kept
+    assert all(job in kept for job in jobs[:1] if own_bytes(*job) <= room)
+
+
+def test_a_swarm_shrinks_to_a_tenth() -> None:
+    packer = Packer(3072)
+    count = sum(packer.add(Accepted(spec(n, expect_s=4.0 + n / 8), NOW)) for n in range(1000))
+    assert count >= 40
+    assert own_bytes(spec(1), NOW) * count > 5 * packer.size
+
+
+@given(st.lists(st.tuples(st.integers(0, 10**9), st.integers(1, 100_000)), max_size=200))
+@settings(max_examples=30, deadline=None)
+def test_ends_come_back_as_they_were(ends: list[tuple[int, int]]) -> None:
+    packer = EndPacker(1024)
+    rows = [Ended(JobId(f"job-{n:06d}"), tasks, NOW) for n, tasks in ends]
+    kept = [end for end in rows if packer.add(end)]
+    value = codec.load(codec.dump(packer.value()))
+    assert len(codec.dump(value)) <= 1024
+    assert decode_ended(value) == kept
+
+
+@pytest.mark.parametrize(
+    "value",
+    [None, [], {}, {"jobs": [1]}, {"jobs": [[1.0]]}, {"jobs": [[1.0, 2]]},
+     {"jobs": [[1.0, {"uid": "job-000001"}]]}, {"jobs": [["x", row(1)]]}],
+)  # fmt: skip
+def test_a_malformed_pack_is_told_and_changes_nothing(value: Any) -> None:
+    with pytest.raises(BadMessage):
+        decode_accepted(value)
+    view = View()
+    view.apply([Change(records.PACKS + "x.1", value, Revision(1), False)], Revision(1))
+    assert not view.jobs and not view.shelf.live
+
+
+# -- of many writers with old views, one is first, and it is the same one for everybody ------
+
+
+class Writer:
+    """A node's view and what it writes from it, by the service's own builders."""
+
+    def __init__(self, name: str, config: Any) -> None:
+        self.view = View()
+        state: Any = None
+        sync: Any = None
+        self.submissions = Submissions(config, state, self.view, sync, name)
+        self.ends = Ends(config, self.view, Token(1 + int(name[1:])))
+        self.told: dict[str, str] = {}
+
+
+class Races(RuleBasedStateMachine):
+    """Submissions of the same few jobs through several nodes that see late, while a leader
+    ends them, users cancel them, and packs are swept; every step is one transaction."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.store = Store(Limits(None, None, 4096, 12))
+        self.writers = [Writer(f"n{n}", Settings) for n in range(3)]
+        self.finals: dict[str, str] = {}  # told to anybody
+        self.accepted: set[str] = set()
+
+    def ask(self, method: str, target: str, body: bytes | None = None) -> dict[str, Any]:
+        answer = self.store.handle(method, target, body, "n", 0.0)
+        assert isinstance(answer, Reply) and answer.status in (200, 409), answer
+        return codec.load_object(answer.body) | {"ok": answer.status == 200}
+
+    def write(self, txn: Txn) -> bool:
+        return bool(self.ask("POST", "/txn", txn.encode())["ok"])
+
+    def changes(self, after: int) -> tuple[list[Change], Revision]:
+        answer = self.ask("GET", f"/changes?starts={quote(records.PREFIX)}&after={after}")
+        news = []
+        for item in answer["news"]:
+            gone = "drop" in item
+            key = item["drop"] if gone else item["put"]
+            news.append(Change(key, item.get("v"), Revision(item["stamp"]), gone))
+        return news, Revision(answer["epoch"])
+
+    def catch_up(self, writer: Writer) -> None:
+        writer.view.apply(*self.changes(writer.view.applied))
+        writer.view.loaded = True
+        for job, record in writer.view.jobs.items():
+            if record.phase.final:
+                before = writer.told.setdefault(job, record.phase.value)
+                assert before == record.phase.value, f"{job} went back"
+
+    def tell(self, job: str, phase: JobPhase) -> None:
+        if phase.final:
+            assert self.finals.setdefault(job, phase.value) == phase.value, f"{job} went back"
+
+    @rule(
+        who=st.integers(0, 2),
+        jobs=st.sets(st.integers(1, 6), min_size=1),
+        unit=st.integers(1, 4),
+    )
+    def submit_packed(self, who: int, jobs: set[int], unit: int) -> None:
+        writer = self.writers[who]
+        batch = writer.submissions._packed(self.entries(writer, jobs, unit), 11)
+        if batch.entries and self.write(batch.txn):
+            self.read_back(writer, batch)
+
+    def read_back(self, writer: Writer, batch: _Batch) -> None:
+        self.catch_up(writer)
+        for entry in batch.entries:
+            job = entry.spec.id
+            record = writer.view.jobs[job]
+            if writer.submissions._ours(batch, job):
+                assert job not in self.accepted, f"{job} accepted twice"
+                assert record.spec == entry.spec
+            self.accepted.add(job)
+            self.tell(job, record.phase)
+
+    @rule(who=st.integers(0, 2), job=st.integers(1, 6), unit=st.integers(1, 4))
+    def submit_single(self, who: int, job: int, unit: int) -> None:
+        writer = self.writers[who]
+        batch = writer.submissions._singles(self.entries(writer, {job}, unit), 12)
+        if not batch.entries or not self.write(batch.txn):
+            return
+        if batch.read_back:
+            self.read_back(writer, batch)
+        else:
+            name = batch.entries[0].spec.id
+            assert name not in self.accepted, f"{name} accepted twice"
+            self.accepted.add(name)
+
+    def entries(self, writer: Writer, jobs: set[int], unit: int) -> list[_Submission]:
+        future: Any = None
+        specs = [spec(job, units=unit) for job in sorted(jobs)]
+        return [
+            _Submission(s, NOW, own_bytes(s, NOW), future)
+            for s in specs
+            if s.id not in writer.view.jobs
+        ]
+
+    @rule(who=st.integers(0, 2), job=st.integers(1, 6))
+    def cancel(self, who: int, job: int) -> None:
+        writer = self.writers[who]
+        record = writer.view.active.get(JobId(f"job-{job:06d}"))
+        if record is None or record.spec is None:
+            return
+        key = records.job_key(record.id)
+        value = records.encode_job_record(record.spec, JobPhase.CANCELLED, NOW)
+        if self.write(Txn(guards={key: record.version}, puts={key: value})):
+            self.catch_up(writer)
+            assert writer.view.jobs[record.id].phase.final
+            self.tell(record.id, writer.view.jobs[record.id].phase)
+
+    @rule(who=st.integers(0, 2), jobs=st.sets(st.integers(1, 6), min_size=1))
+    def end(self, who: int, jobs: set[int]) -> None:
+        writer = self.writers[who]
+        txn = Txn()
+        for job in sorted(jobs):
+            record = writer.view.active.get(JobId(f"job-{job:06d}"))
+            if record is None:
+                continue
+            if record.pack is not None:
+                assert writer.ends.add(txn, record, 12 - txn.size)
+            else:
+                key = records.job_key(record.id)
+                txn.guards[key] = record.version
+                txn.puts[key] = records.encode_done(record)
+        if txn.size:
+            self.write(txn)
+
+    @rule(who=st.integers(0, 2), calm=st.booleans())
+    def sweep(self, who: int, calm: bool) -> None:
+        writer = self.writers[who]
+        state: Any = Idle
+        sweeper = Sweeper(Settings, state, writer.view, Revision(0), lambda: 1e3 * calm)
+        sweeper._shelved = writer.view.shelf.count, 0.0
+        txn = sweeper.transaction()
+        if txn is not None:
+            txn.guards.pop(records.LEADER_KEY)
+            assert self.write(txn) or calm
+
+    @rule(who=st.integers(0, 2))
+    def look(self, who: int) -> None:
+        self.catch_up(self.writers[who])
+
+    @rule(who=st.integers(0, 2), job=st.integers(1, 6), other=st.integers(0, 2))
+    def load_while_others_write(self, who: int, job: int, other: int) -> None:
+        """A listing whose pages are of different moments, then what changed since."""
+        rows: list[Entry] = []
+        prefixes = [records.ENDS, records.JOBS, records.PACKS, records.PACKING]
+        first = None
+        steps: list[Callable[[], None]] = [
+            lambda: self.cancel(other, job),
+            lambda: self.end(other, {job, 1 + job % 6}),
+            lambda: self.sweep(other, False),
+        ]
+        for prefix, step in itertools.zip_longest(prefixes, steps):
+            answer = self.ask("GET", f"/store?starts={prefix}&most=1000")
+            first = answer["epoch"] if first is None else first
+            rows += [Entry(r["path"], r["v"], r["stamp"]) for r in answer["entries"]]
+            if step is not None:
+                step()
+        writer = self.writers[who]
+        writer.view.load(rows, Revision(first or 0))
+        self.catch_up(writer)
+
+    @invariant()
+    def all_agree(self) -> None:
+        if not hasattr(self, "store"):
+            return
+        fresh = View()
+        answer = self.ask("GET", f"/store?starts={records.PREFIX}&most=1000")
+        rows = [Entry(r["path"], r["v"], r["stamp"]) for r in answer["entries"]]
+        fresh.load(rows, Revision(answer["epoch"]))
+        assert set(fresh.jobs) >= self.accepted
+        for writer in self.writers:
+            if writer.view.applied != fresh.applied:
+                continue
+            assert set(writer.view.jobs) == set(fresh.jobs)
+            assert set(writer.view.active) == set(fresh.active)
+            assert set(writer.view.shelf.live) == set(fresh.shelf.live)
+            assert set(writer.view.shelf.spent) == set(fresh.shelf.spent)
+            for job, record in fresh.jobs.items():
+                mine = writer.view.jobs[job]
+                assert (mine.phase, mine.version, mine.tasks) == (
+                    record.phase, record.version, record.tasks,
+                )  # fmt: skip
+                if not record.phase.final:
+                    assert (mine.spec, mine.pack) == (record.spec, record.pack)
+        for job, phase in self.finals.items():
+            assert fresh.jobs[JobId(job)].phase.value == phase
+
+
+class Idle:
+    """A state service's client whose budget is not used."""
+
+    class writes:
+        @staticmethod
+        def wait_s(amount: float) -> float:
+            return 0.0
+
+
+class Settings:
+    value_bytes = 4096
+    txn_ops = 12
+
+    class operator:
+        pack_submissions = 1
+
+
+TestRaces = Races.TestCase
+TestRaces.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+# -- whole days ----------------------------------------------------------------------------
+
+
+class Swarms(World):
+    """Little budget, and now and then a swarm of jobs, each sent through two nodes at once."""
+
+    def settings(self, index: int) -> Any:
+        return replace(super().settings(index), state_write_rps=24.0)
+
+    async def arrivals(self, until: float) -> None:
+        self.spawn(super().arrivals(until))
+        number = 500_000
+        while self.now() < until:
+            for _ in range(self.rng.choice([2, 25, 60])):
+                number += 1
+                job = row(number, vcpus=0.1, real_s=self.rng.uniform(0.5, 4.0))
+                job["broken"] = False
+                self.jobs.upload(job)
+                drawn = self.rng.uniform(0.2, 5.0) if self.rng.random() < 0.1 else None
+                self.spawn(self.users.live(job, drawn))
+                if self.rng.random() < 0.3:
+                    self.spawn(self.users.again(job))
+            await asyncio.sleep(self.rng.uniform(2.0, 8.0))
+
+
+@pytest.mark.parametrize(
+    ("seed", "faults"),
+    [(1, quiet), (2, crashes), (3, cuts), (4, outages), (5, bad_nights), (6, crashes)],
+    ids=str,
+)
+def test_swarms_keep_the_rules(seed: int, faults: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("tests.test_rules.World", Swarms)
+    world = play(seed, faults)
+    packs = [key for key in world.state.store.rows if key.startswith(records.ENDS)]
+    assert packs, "nothing was packed"
+    swarm = [job for job in world.made if job["uid"] >= "job-500000"]
+    over = [job for job in swarm if job["uid"] in world.told]
+    assert len(over) > 0.7 * len(swarm)
