--- a/dunehold/emulator/serve/cluster.py
+++ b/dunehold/emulator/serve/cluster.py
@@ -35,6 +35,7 @@
 from dunehold.transport.http import HttpClient, HttpServer, NoResponse
 
 READY_S = 30.0
+HISTORY = "history.jsonl"
 
 
 class ClusterError(Exception):
@@ -73,7 +74,7 @@
         self.directory.mkdir(parents=True, exist_ok=True)
         self.places = Places(self.net, written.node_names(scenario))
         self.rng = default_rng(scenario.seed)
-        self._sink = (self.directory / "history.jsonl").open("wb")
+        self._sink = (self.directory / HISTORY).open("wb")
         self.history = History(time.monotonic, self._sink, False, [], self.on_event)
         self.jobs = Jobs(self.rng)
         for name, groups in written.labels(scenario).items():
--- a/dunehold/emulator/serve/play.py
+++ b/dunehold/emulator/serve/play.py
@@ -18,9 +18,9 @@
 from dunehold.emulator.faults import AnyFault
 from dunehold.emulator.history import Event
 from dunehold.emulator.load import Arrival, plan
-from dunehold.emulator.scenario import Scenario
+from dunehold.emulator.scenario import Scenario, ScenarioError
 from dunehold.emulator.serve.acts import Acts
-from dunehold.emulator.serve.cluster import Cluster, ClusterError
+from dunehold.emulator.serve.cluster import HISTORY, Cluster, ClusterError
 from dunehold.emulator.serve.control import Control
 from dunehold.emulator.serve.places import Place
 from dunehold.emulator.serve.processes import own_usage
@@ -117,6 +117,12 @@
 
     def __post_init__(self) -> None:
         scenario = self.scenario
+        if (self.directory / HISTORY).exists():
+            # Its state service would come back with the jobs of that run, whose ids are used
+            # again: their users would be told of answers that others got.
+            raise ScenarioError(
+                f"{self.directory}: holds an earlier run: name another directory"
+            )
         self.cluster = Cluster(scenario, self.directory, self.net, [self._seen])
         self.acts = Acts(self.cluster)
         door = FrontDoor(self.cluster.places.door)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -183,6 +183,9 @@
         assert {key: played[key] for key in row if key != "at_s"} == {
             key: row[key] for key in row if key != "at_s"
         }
+    # A second run there would find the first one's jobs in its state service.
+    code, _, err = finish(dunehold("emulate", scenario, "--net", net, "--directory", where))
+    assert (code, err.count("\n")) == (2, 1) and "earlier run" in err
     log.write_bytes(b'{"kind":"machines","do":"explode"}\n')
     code, _, err = finish(dunehold("emulate", scenario, "--net", net, "--replay", log))
     assert (code, err.count("\n")) == (2, 1)
