Packs begin in time; marks that an end left are deleted

Packs began once the budget was gone: every token went to a lone job by then, and the first pack, dearer by one change, could hardly be paid. The end of an array of more than twelve pages of marks left the others for ever; the sweeper deletes them when nothing else is to be written. Tests for a job that no value holds and for one that makes its transaction malformed.

--- a/dunehold/bookkeeping/view.py
+++ b/dunehold/bookkeeping/view.py
@@ -55,6 +55,7 @@
     versions: dict[str, Revision] = field(default_factory=dict)
     broken: set[JobId] = field(default_factory=set)  # found to fail on every machine
     orphan_marks: dict[JobId, dict[int, int]] = field(default_factory=dict)
+    spent_marks: dict[JobId, None] = field(default_factory=dict)  # done, with marks still kept
     shelf: Shelf = field(default_factory=Shelf)
     packing: bool = False  # packs may be written, by whichever node
 
@@ -162,6 +163,13 @@
             self.active[record.id] = record
         else:
             self.active.pop(record.id, None)
+        self._note_marks(record)
+
+    def _note_marks(self, record: JobRecord) -> None:
+        if record.phase is JobPhase.DONE and record.marks:
+            self.spent_marks[record.id] = None
+        else:
+            self.spent_marks.pop(record.id, None)
 
     def _apply_pack(self, pack: str, change: Change) -> list[JobId]:
         if change.deleted:
@@ -205,6 +213,8 @@
             marks.pop(int(page), None)
         else:
             marks[int(page)] = records.decode_bitmap(change.value)
+        if record is not None:
+            self._note_marks(record)
         return [job]
 
     def _apply_relay(self, node: NodeId, change: Change) -> None:
--- a/dunehold/coordination/ends.py
+++ b/dunehold/coordination/ends.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -53,8 +53,12 @@
 
 @dataclass(slots=True)
 class Sweeper:
-    """Deletes packs of submissions all of whose jobs are over, when nothing else is to be
-    written. A job that is over is on record by its end."""
+    """Deletes what is not needed any more, when nothing else is to be written.
+
+    Packs of submissions all of whose jobs are over: each is on record by its end. Marks of
+    jobs that are done, of which an end's own transaction holds only so many: kept, they would
+    be listed at every start, for ever.
+    """
 
     settings: Settings
     state: StateClient
@@ -84,15 +88,27 @@
         return Txn(guards={records.LEADER_KEY: self.leader_version})
 
     def _deletes(self) -> Txn | None:
-        self._asked &= self.view.shelf.spent.keys()
-        names = [name for name in self.view.shelf.spent if name not in self._asked]
-        names = list(islice(names, max(1, self.settings.txn_ops // 2)))
-        if not names or self.state.writes.wait_s(float(len(names))) > 0:
-            return None
+        self._asked.intersection_update(self._spent())
+        most = max(1, self.settings.txn_ops // 2)
         txn = self._guarded()
-        txn.deletes = {records.PACKS + name for name in names}
+        txn.deletes = set(islice(filter(self._not_asked, self._spent()), most))
+        if not txn.size or self.state.writes.wait_s(float(txn.size)) > 0:
+            return None
+        for key in txn.deletes:
+            if key.startswith(records.MARKS):
+                txn.guards[key] = self.view.versions.get(key, ABSENT)
         return txn
 
+    def _spent(self) -> Iterator[str]:
+        for name in self.view.shelf.spent:
+            yield records.PACKS + name
+        for job in self.view.spent_marks:
+            for page in self.view.jobs[job].marks:
+                yield records.mark_key(job, page)
+
+    def _not_asked(self, key: str) -> bool:
+        return key not in self._asked
+
     async def sweep(self) -> bool:
         """True if something was deleted; raises what the state service's client raises."""
         txn = self.transaction()
@@ -100,5 +116,5 @@
             return False
         result = await self.state.txn(txn, Priority.BULK)
         if result.ok:  # shows in the view later: not to be asked for twice
-            self._asked |= {key[len(records.PACKS) :] for key in txn.deletes}
+            self._asked |= txn.deletes
         return result.ok
--- a/dunehold/coordination/submissions.py
+++ b/dunehold/coordination/submissions.py
@@ -29,7 +29,7 @@
 log = logging.getLogger(__name__)
 
 MAX_PENDING = 2000
-LEAST_PACKED = 2  # jobs that wait for the budget
+RESERVE_SHARE = 1 / 3  # of the burst: packs begin while their first, dearer one can be paid
 MOST_ROWS = 512  # to a transaction, so that building it never keeps the loop for long
 VALUE_SHARE = 0.75  # of a value's size is filled; how the state service counts may differ
 
@@ -72,7 +72,7 @@
     _shrunk: float = 1.0  # what packing made of it lately
     _packs: int = 0
     _asked: int = 0  # changes that are waited for
-    _short: bool = False  # the budget does not hold a key for each
+    _short: bool = False  # the budget does not hold a key for each, and a reserve
     _task: asyncio.Task[None] | None = None
 
     @property
@@ -161,15 +161,17 @@
     def _changes(self) -> int:
         """How many changes to pay for: no more than the transaction will make, mostly."""
         count = len(self._pending)
-        self._short = self.state.writes.wait_s(count) > 0
-        if self._packs_wanted(count):
+        writes = self.state.writes
+        least = count + writes.burst * RESERVE_SHARE
+        self._short = least > writes.burst or writes.wait_s(least) > 0
+        if self._packs_wanted():
             count = min(self._packed_changes(), MAX_TXN_BYTES // self._room)
         return max(1, min(count, self.settings.txn_ops))
 
-    def _packs_wanted(self, count: int) -> bool:
+    def _packs_wanted(self) -> bool:
         """While packs may be written even a lone job goes into one: it costs no more, and
         its end can share a key."""
-        return self.packing and (self.view.packing or (self._short and count >= LEAST_PACKED))
+        return self.packing and (self.view.packing or self._short)
 
     def _build(self, paid: int) -> _Batch:
         for entry in list(self._pending.values()):
@@ -180,7 +182,7 @@
         if apart is not None:
             return self._singles([apart], 1)
         packs = paid - (not self.view.packing)
-        if packs > 0 and self._packs_wanted(len(waiting)):
+        if packs > 0 and self._packs_wanted():
             return self._packed(waiting, packs)
         return self._singles(waiting, paid)
 
--- a/tests/test_packs.py
+++ b/tests/test_packs.py
@@ -28,13 +28,15 @@
 from dunehold.bookkeeping.view import View
 from dunehold.coordination.ends import Ends, Sweeper
 from dunehold.coordination.submissions import Submissions, _Batch, _Submission
+from dunehold.coordination.sync import Sync
 from dunehold.emulator.model.base import Reply
 from dunehold.emulator.model.store import Limits, Store
 from dunehold.protocol import codec
 from dunehold.protocol.codec import BadMessage
-from dunehold.protocol.state import Change, Entry, Txn
+from dunehold.protocol.state import Change, Entry, Malformed, Txn, TxnResult
 from dunehold.protocol.users import JobSpec, decode_job
-from dunehold.types import JobId, JobPhase, Revision, Token, WallTime
+from dunehold.transport.budget import Budget
+from dunehold.types import Duration, JobId, JobPhase, Revision, Token, WallTime
 from tests.test_rules import bad_nights, crashes, cuts, outages, play, quiet
 from tests.world import World
 
@@ -340,6 +342,154 @@
 )
 
 
+def test_marks_of_a_job_that_is_done_are_deleted_in_the_end() -> None:
+    """An end deletes as many pages as its transaction holds; the others stayed for ever."""
+    view, job = View(), spec(1, units=100_000)
+    store = Store(Limits(None, None, 4096, 12))
+    value = records.encode_job_record(job, JobPhase.ACTIVE, NOW)
+    rows = {records.job_key(job.id): value}
+    rows |= {records.mark_key(job.id, page): records.encode_bitmap(7) for page in range(24)}
+
+    def write(txn: Txn) -> None:
+        answer = store.handle("POST", "/txn", txn.encode(), "n", 0.0)
+        assert isinstance(answer, Reply) and answer.status == 200, answer
+        look()
+
+    def look() -> None:
+        target = f"/changes?starts={records.PREFIX}&after={view.applied}"
+        answer = store.handle("GET", target, None, "n", 0.0)
+        assert isinstance(answer, Reply)
+        row = codec.load_object(answer.body)
+        news = [
+            Change(i.get("put") or i["drop"], i.get("v"), Revision(i["stamp"]), "drop" in i)
+            for i in row["news"]
+        ]
+        view.apply(news, Revision(row["epoch"]))
+
+    for key, content in rows.items():
+        write(Txn(puts={key: content}))
+    assert not view.spent_marks
+    record = view.active[job.id]
+    end = Txn(puts={records.job_key(job.id): records.encode_done(record)})
+    end.deletes = {records.mark_key(job.id, page) for page in range(11)}
+    write(end)
+    state: Any = Idle
+    sweeper = Sweeper(Settings, state, view, Revision(0), lambda: 0.0)
+    sweeps = 0
+    while (txn := sweeper.transaction()) is not None:
+        txn.guards.pop(records.LEADER_KEY)
+        write(txn)
+        sweeps += 1
+    assert sweeps == 3 and not view.spent_marks
+    assert set(store.rows) == {records.job_key(job.id)}
+    assert view.jobs[job.id].phase is JobPhase.DONE
+
+
+# -- what the state service does not take ------------------------------------------------------
+
+
+class Choosy:
+    """A state service's client that takes no transaction with a certain job in it."""
+
+    def __init__(self, view: View, poison: str, rate: float = 1000.0) -> None:
+        self.writes = Budget(rate, 12.0)
+        self.view, self.poison = view, poison
+        self.revision = 0
+        self.sizes: list[int] = []
+
+    async def txn(self, txn: Txn, priority: int, paid: bool = False) -> TxnResult:
+        assert paid
+        await asyncio.sleep(0.01)
+        if self.poison.encode() in txn.encode():
+            raise Malformed("400")
+        self.revision += 1
+        self.sizes.append(txn.size)
+        version = Revision(self.revision)
+        changes = [
+            Change(k, codec.load(codec.dump(v)), version, False) for k, v in txn.puts.items()
+        ]
+        self.view.apply(changes, version)
+        return TxnResult(version, ())
+
+    async def barrier(self) -> None:
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("rate", [1000.0, 20.0])
+def test_one_malformed_job_fails_alone(rate: float) -> None:
+    """It took all along that shared its transaction, each time that its user came again."""
+
+    async def submit() -> tuple[list[bool | None], list[int]]:
+        view = View()
+        state: Any = Choosy(view, "job-000007", rate)
+        submissions = Submissions(Settings, state, view, state, "n0")
+        writes = [submissions.write(spec(n), NOW) for n in range(30)]
+        return await asyncio.gather(*writes), state.sizes
+
+    outcomes, _ = asyncio.run(submit())
+    assert outcomes == [None if n == 7 else True for n in range(30)]
+
+
+def test_who_waits_for_the_budget_shares_a_key_and_nobody_waits_long() -> None:
+    async def submit() -> tuple[list[float], int]:
+        view = View()
+        state: Any = Choosy(view, "nobody", 2.0)
+        state.writes = Budget(2.0, 2.0)
+        submissions = Submissions(Settings, state, view, state, "n0")
+        waits = []
+
+        async def one(number: int) -> None:
+            await asyncio.sleep(number * 0.01)
+            if submissions.wait_s() <= 0.5:
+                waits.append(submissions.wait_s())
+                assert await submissions.write(spec(number), NOW)
+
+        await asyncio.gather(*map(one, range(200)))
+        return waits, sum(state.sizes)
+
+    waits, changes = asyncio.run(submit())
+    assert len(waits) > 150, len(waits)
+    assert changes <= 2 + 2.0 * 4  # the burst, and the budget of the time that it took
+
+
+def test_a_description_larger_than_a_value_is_refused_at_once() -> None:
+    large = row(900_000, flavours=["x" * 190 + str(n) for n in range(30)])
+    answers: list[int] = []
+
+    async def faults(world: World) -> None:
+        await asyncio.sleep(15.0)
+        for _ in range(3):
+            body = orjson.dumps(large)
+            answers.append((await world.ask("POST", "/v1/jobs", body, 5.0))[0])
+
+    play(9, faults)
+    assert answers == [422] * 3
+
+
+def test_a_listing_is_brought_up_to_date_before_anything_is_told_from_it() -> None:
+    """Its pages were of different moments: the cancellation was there, the end before not."""
+    job = spec(1)
+    cancelled = records.encode_job_record(job, JobPhase.CANCELLED, NOW)
+    end = {"done": [[job.id, 1, NOW]]}
+
+    class Listing:
+        async def entries(self, prefix: str, priority: int) -> tuple[list[Entry], Revision]:
+            return [Entry(records.job_key(job.id), cancelled, Revision(9))], Revision(7)
+
+        async def changes(self, *_: Any) -> tuple[list[Change], Revision]:
+            news = [
+                Change(records.ENDS + "1.1", end, Revision(8), False),
+                Change(records.job_key(job.id), cancelled, Revision(9), False),
+            ]
+            return news, Revision(9)
+
+    state: Any = Listing()
+    view = View()
+    sync = Sync(state, view, lambda jobs: None, Duration(0.1), Duration(0.1))
+    asyncio.run(sync.load())
+    assert view.jobs[job.id].phase is JobPhase.DONE
+
+
 # -- whole days ----------------------------------------------------------------------------
 
 
