Packs with large values: the first one is paid for with the key that allows it

With values of 41 KB and more a transaction holds one pack, and only one change was paid for: the first pack needs two, so jobs kept keys of their own for ever. Found on reading; the test at two changes a second now runs with values of 1, 4 and 64 KB and fails at 64 without this.

--- a/dunehold/coordination/submissions.py
+++ b/dunehold/coordination/submissions.py
@@ -165,7 +165,8 @@
         least = count + writes.burst * RESERVE_SHARE
         self._short = least > writes.burst or writes.wait_s(least) > 0
         if self._packs_wanted():
-            count = min(self._packed_changes(), MAX_TXN_BYTES // self._room)
+            most = max(1, MAX_TXN_BYTES // self._room) + (not self.view.packing)
+            count = min(self._packed_changes(), most)
         return max(1, min(count, self.settings.txn_ops))
 
     def _packs_wanted(self) -> bool:
--- a/tests/test_packs.py
+++ b/tests/test_packs.py
@@ -430,7 +430,12 @@
     assert outcomes == [None if n == 7 else True for n in range(30)]
 
 
-def test_who_waits_for_the_budget_shares_a_key_and_nobody_waits_long() -> None:
+@pytest.mark.parametrize(("value_kb", "least"), [(1, 20), (4, 150), (64, 150)])
+def test_who_waits_for_the_budget_shares_a_key_and_nobody_waits_long(
+    value_kb: int, least: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Settings, "value_bytes", value_kb * 1024)
+
     async def submit() -> tuple[list[float], int]:
         view = View()
         state: Any = Choosy(view, "nobody", 2.0)
@@ -448,7 +453,7 @@
         return waits, sum(state.sizes)
 
     waits, changes = asyncio.run(submit())
-    assert len(waits) > 150, len(waits)
+    assert len(waits) > least, len(waits)
     assert changes <= 2 + 2.0 * 4  # the burst, and the budget of the time that it took
 
 
