Coordination in packages by what a reader looks for, imports downwards, no behaviour changed

Now users/, election/, term/, fleet/, picture/, durable/ and scheduler/, split along their jobs: the walk into floor, clearing and walk; the node's sight of its peers; judging results; aims, guarantees and progress beside the picture; machines and attempts beside the ledger. tests/test_layers.py holds the direction of every import.

--- /dev/null
+++ b/dunehold/bookkeeping/hosts.py
@@ -0,0 +1,123 @@
+"""A machine on the books, and the attempts that are or may be on it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from dunehold.types import (
+    NO_ROOM,
+    AttemptId,
+    Duration,
+    HostId,
+    Image,
+    MonotonicTime,
+    Room,
+    Sequence,
+    Session,
+    TaskPhase,
+    Team,
+    Tier,
+    TypeName,
+    Why,
+    Zone,
+)
+
+
+@dataclass(slots=True)
+class Run:
+    """One attempt on one machine."""
+
+    id: AttemptId
+    host: HostId
+    team: Team
+    need: Room
+    image: Image
+    image_gb: float
+    planned_at: MonotonicTime
+    service: bool = False
+    logged: bool = False  # in the durable log of starts: it may be commanded
+    adopted: bool = False  # from another leader: when it began is not known
+    seen: bool = False  # the worker has reported it
+    in_reply: bool = False  # in a report response that may have been carried out
+    unanswered: int = 0  # direct starts without an answer: they may still be carried out
+    phase: TaskPhase = TaskPhase.FETCHING
+    tier: Tier = Tier.FOREGROUND
+    running_at: MonotonicTime | None = None
+    late: bool = False  # seen to run only after a silence
+    why: Why | None = None
+    stop_grace: Duration | None = None
+    duration_s: Duration | None = None  # how long it ran, once it has exited
+
+    @property
+    def occupies(self) -> bool:
+        return self.phase is not TaskPhase.EXITED
+
+    @property
+    def unsent(self) -> bool:
+        """Nobody can have carried out its start: it can still be taken back."""
+        return not (self.seen or self.in_reply or self.unanswered)
+
+
+@dataclass(slots=True)
+class Host:
+    """A machine, its worker's session and what may be on it."""
+
+    id: HostId
+    type: TypeName
+    zone: Zone
+    spot: bool
+    address: str
+    created_at: MonotonicTime
+    room: Room
+    session: Session = Session(0)
+    sequence: Sequence = Sequence(0)
+    dead_session: Session = Session(0)
+    fed_at: MonotonicTime | None = None  # the latest that its lease can count from
+    confirmed: bool = False  # its worker has seen our token: no older leader can feed it
+    known: bool = False  # has reported under our token, in its present session
+    fenced: bool = False  # everything on it is proved gone
+    up: bool = False
+    boot_noted: bool = False  # that it came up in time, or did not
+    draining: str | None = None
+    deleting: bool = False
+    notice_at: MonotonicTime | None = None
+    runs: dict[AttemptId, Run] = field(default_factory=dict)
+    used: Room = NO_ROOM
+    images: dict[Image, tuple[MonotonicTime, float]] = field(default_factory=dict)  # use, GB
+    heard_at: MonotonicTime = MonotonicTime(-1e9)  # when its worker was heard of last
+    idle_since: MonotonicTime | None = None
+    error_at: MonotonicTime | None = None  # a task failed: its job, or this machine
+    quarantined_at: MonotonicTime | None = None
+    slowness: float = 1.0  # by its last results, where others ran tasks of the same job
+    slow_results: int = 0  # in a row
+    recorded: bool = False  # durable, and nothing under way that would undo it
+    version: int = 0  # counts every change of what is on it
+
+    @property
+    def free(self) -> Room:
+        return self.room.minus(self.used)
+
+    @property
+    def busy(self) -> bool:
+        """Something is on it, or may be."""
+        return any(run.occupies for run in self.runs.values())
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """An attempt that was seen to exit."""
+
+    run: Run
+    why: Why
+    saved: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a report changed."""
+
+    accepted: bool
+    exits: tuple[Exit, ...] = ()
+    lost: tuple[Run, ...] = ()
+    adopted: tuple[Run, ...] = ()
+    changed: bool = False
--- a/dunehold/coordination/recorder.py
+++ b/dunehold/coordination/durable/recorder.py
@@ -9,11 +9,12 @@
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping import records
-from dunehold.bookkeeping.ledger import Ledger, Run
+from dunehold.bookkeeping.hosts import Run
+from dunehold.bookkeeping.ledger import Ledger
 from dunehold.bookkeeping.records import HostRecord, JobRecord
 from dunehold.bookkeeping.view import VERSIONED, View
-from dunehold.coordination.ends import Ends, Sweeper
-from dunehold.coordination.sync import TROUBLE, Sync
+from dunehold.coordination.durable.ends import Ends, Sweeper
+from dunehold.coordination.durable.sync import TROUBLE, Sync
 from dunehold.protocol.cloud import Rental
 from dunehold.protocol.state import ABSENT, MAX_TXN_BYTES, Priority, StateClient, Txn
 from dunehold.settings import Settings
--- a/dunehold/coordination/relay.py
+++ b/dunehold/coordination/election/relay.py
@@ -23,7 +23,7 @@
 
 from dunehold.bookkeeping import records
 from dunehold.bookkeeping.view import View
-from dunehold.coordination.sync import TROUBLE, Sync
+from dunehold.coordination.durable.sync import TROUBLE, Sync
 from dunehold.protocol import workers
 from dunehold.protocol.state import ABSENT, LeaseGone, Priority, StateClient, Txn
 from dunehold.protocol.workers import Command, Report, Stop
--- /dev/null
+++ b/dunehold/coordination/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The machines: renting, listing, returning."""
--- a/dunehold/coordination/autoscaler.py
+++ b/dunehold/coordination/fleet/autoscaler.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from dunehold.coordination.picture.offers import Demand, FleetHost, Offer
 from dunehold.protocol.cloud import MAX_RENT, MachineType
 from dunehold.types import HostId, Room, TypeName, Zone
 
@@ -13,35 +13,6 @@
 FREED_SHARE = 0.3  # of a boot time: room that frees up later is wanted by later arrivals
 
 
-@dataclass(frozen=True, slots=True)
-class Offer:
-    """A kind of machine that the cloud may have."""
-
-    type: TypeName
-    zone: Zone
-    spot: bool
-
-
-@dataclass(slots=True)
-class FleetHost:
-    id: HostId
-    offer: Offer
-    total: Room
-    free: Room  # now, or once booted
-    freed: list[tuple[float, Room]]  # estimated end and room of what runs on it
-    idle_s: float | None
-
-
-@dataclass(slots=True)
-class Demand:
-    """Waiting tasks of one shape."""
-
-    need: Room
-    tasks: int
-    run_s: float
-    allowed: Callable[[Offer], bool]
-
-
 @dataclass(frozen=True, slots=True)
 class Rent:
     offer: Offer
--- a/dunehold/coordination/fleet.py
+++ b/dunehold/coordination/fleet/fleet.py
@@ -10,12 +10,15 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from dunehold.bookkeeping.ledger import Host, Ledger, Run
+from dunehold.bookkeeping.hosts import Host, Run
+from dunehold.bookkeeping.ledger import Ledger
 from dunehold.bookkeeping.view import View
-from dunehold.coordination import autoscaler
-from dunehold.coordination.autoscaler import Offer, Rent
-from dunehold.coordination.picture import JobProgress, Picture
-from dunehold.coordination.recorder import Recorder
+from dunehold.coordination.durable.recorder import Recorder
+from dunehold.coordination.fleet import autoscaler
+from dunehold.coordination.fleet.autoscaler import Rent
+from dunehold.coordination.picture.offers import Offer
+from dunehold.coordination.picture.picture import Picture
+from dunehold.coordination.picture.progress import JobProgress
 from dunehold.protocol.cloud import (
     MAX_DELETE,
     MAX_LIST,
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -13,13 +13,14 @@
 from dunehold.bookkeeping import records
 from dunehold.bookkeeping.ledger import Ledger
 from dunehold.bookkeeping.view import View
-from dunehold.coordination.estimates import Estimates
-from dunehold.coordination.intake import Intake
-from dunehold.coordination.leader import DIRECT_SOCKET_SHARE, Leader
-from dunehold.coordination.recorder import Recorder
-from dunehold.coordination.relay import Relay
-from dunehold.coordination.submissions import Submissions
-from dunehold.coordination.sync import TROUBLE, Sync
+from dunehold.coordination.durable.recorder import Recorder
+from dunehold.coordination.durable.sync import TROUBLE, Sync
+from dunehold.coordination.election.relay import Relay
+from dunehold.coordination.election.sight import PEER_TIMEOUT_S, Sight
+from dunehold.coordination.picture.estimates import Estimates
+from dunehold.coordination.term.leader import DIRECT_SOCKET_SHARE, Leader
+from dunehold.coordination.users.intake import Intake
+from dunehold.coordination.users.submissions import Submissions
 from dunehold.protocol import peers, users, workers
 from dunehold.protocol.cloud import CloudClient, CloudTrouble, MachineType, NoCapacity
 from dunehold.protocol.codec import BadMessage
@@ -28,12 +29,10 @@
 from dunehold.transport.admission import Purpose
 from dunehold.transport.budget import Budget
 from dunehold.transport.http import (
-    Client,
     Connect,
     HttpClient,
     HttpServer,
     NoResponse,
-    Refused,
     Request,
     Response,
 )
@@ -42,7 +41,6 @@
     JobId,
     LeaseId,
     MonotonicTime,
-    NodeId,
     Revision,
     Token,
     TypeName,
@@ -50,15 +48,11 @@
 
 log = logging.getLogger(__name__)
 
-STATE_LINKS, WATCH_LINKS, CLOUD_LINKS, PEER_LINKS = 16, 2, 4, 2
+STATE_LINKS, WATCH_LINKS, CLOUD_LINKS = 16, 2, 4
 PEER_SOCKETS = 16
-PEER_TIMEOUT_S = 0.3
 RUNNING_AGE_S = 1.0
 ABSTAIN_S = 6.0
 MOST_PATIENCE = 16  # of terms in which no worker was heard: leadership must not go round
-COMPARE_S, FRESH_S = 1.0, 2.0
-# Workers give an answer up, and go to the next node, after so long.
-ANSWER_S, NEXT_NODE_S, QUIET_MARGIN_S = 4.0, 1.0, 2.0
 RESERVED_SOCKETS = 64  # for the state service, the cloud and peers
 BARRIER_GAP_S = 0.08
 WATCH_GAP_S = 0.1
@@ -96,14 +90,11 @@
     sync: Sync = field(init=False)
     intake: Intake = field(init=False)
     relay: Relay = field(init=False)
+    sight: Sight = field(init=False)
     estimates: Estimates = field(default_factory=Estimates)
-    _peers: dict[NodeId, Client] = field(default_factory=dict)
     _running_counts: dict[JobId, int] = field(default_factory=dict)
     _running_at: MonotonicTime = MonotonicTime(-1e9)
     _abstain_until: MonotonicTime = MonotonicTime(-1e9)  # others should lead, if they can
-    _alone: bool = False  # the state service serves others, but not this node
-    _isolated: bool = False  # neither the state service nor any peer answers
-    _worker_at: MonotonicTime = MonotonicTime(-1e9)  # when any worker reported here
     _deaf_terms: int = 0  # led in a row without hearing a worker
     _resigning: set[asyncio.Task[None]] = field(default_factory=set)
     _election: asyncio.Event = field(default_factory=asyncio.Event)
@@ -131,12 +122,13 @@
             Duration(max(BARRIER_GAP_S, BARRIER_COST / requests)),
             Duration(max(WATCH_GAP_S, WATCH_COST / requests)),
         )
+        self.sight = Sight(settings, self.sync, self.connect, self._passed_by)
         self.relay = Relay(
             settings,
             self.state,
             self.view,
             self.sync,
-            self._reaches,
+            self.sight.reaches,
             lambda: self.leader is not None,
         )
         self.intake = Intake(
@@ -203,7 +195,7 @@
             group.create_task(self._forever(self.sync.watch))
             group.create_task(self._forever(self._fetch_types))
             group.create_task(self._forever(self._elect))
-            group.create_task(self._forever(self._compare))
+            group.create_task(self._forever(self.sight.compare))
             group.create_task(self._forever(self.relay.run))
 
     async def _forever(self, work) -> None:  # type: ignore[no-untyped-def]
@@ -234,11 +226,11 @@
         if request.path == workers.REPORT_PATH and request.method == "POST":
             return self._report(request.body)
         if request.path == users.HEALTH_PATH:
-            return Response(503 if self._alone or self._isolated else 200)
+            return Response(503 if self.sight.alone or self.sight.isolated else 200)
         response = await self.intake.handle(request)
         if response is None:
             return Response(404, users.encode_error("no such path"))
-        if response.status == 503 or self._alone or self._isolated:
+        if response.status == 503 or self.sight.alone or self.sight.isolated:
             # Kept open, the connection would bring its user's next try here as well, and
             # every try for a job could fail at one node while all others would answer.
             return response._replace(close=True)
@@ -250,7 +242,7 @@
         except BadMessage as error:
             log.info("report ignored: %s", error)
             return Response(400, users.encode_error(str(error)))
-        self._worker_at = self.now()
+        self.sight.worker_at = self.now()
         if self.leader is not None:
             answer = self.leader.report(report)
             if answer is not None:
@@ -268,75 +260,11 @@
         if request.path == peers.RUNNING_PATH and self.leader is not None:
             return Response(200, peers.encode_running(self.leader.running()))
         if request.path == peers.PROOF_PATH:
-            now = self.now()
-            sight = peers.Sight(now - self.sync.proved_at, now - self._worker_at)
-            return Response(200, peers.encode_sight(sight))
+            return Response(200, peers.encode_sight(self.sight.own()))
         return Response(404)
 
-    async def _compare(self) -> None:
-        """Tell an outage that all nodes see from one that this node alone has.
-
-        Alone, it sends its users and workers elsewhere. In a shared outage there is no
-        better place, and running work is kept alive as long as cancellations allow.
-        """
-        while True:
-            await asyncio.sleep(COMPARE_S)
-            since = self.sync.failing_since
-            if since is None or self.now() - since < COMPARE_S:
-                self._set_alone(False)
-                self._isolated = False
-                continue
-            answers = await self._sights()
-            fresh = (s is not None and s.proof_age_s < FRESH_S for s in answers)
-            self._set_alone(any(fresh))
-            # Whether all see the outage can't be told: users do better elsewhere, while
-            # running work is kept alive as in an outage of all.
-            self._isolated = bool(answers) and all(sight is None for sight in answers)
-
-    async def _sight(self, name: NodeId) -> peers.Sight | None:
-        client = self._peer_client(name)
-        if client is None:
-            return None
-        try:
-            return await peers.get_sight(client, PEER_TIMEOUT_S)
-        except (NoResponse, BadMessage):
-            return None
-
-    async def _sights(self) -> list[peers.Sight | None]:
-        return await asyncio.gather(*(self._sight(p.name) for p in self.settings.peers))
-
-    async def _workers_silent(self) -> bool:
-        """Has no controller heard a worker for so long that a change of leader can't help?
-
-        Workers that get no answer try the next node: had there been any, another node would
-        have heard them by now. Followers are not reported to as long as the leader answers,
-        so this node's own silence must have lasted long enough for them to come round.
-        """
-        quiet_s = ANSWER_S + NEXT_NODE_S + 1.25 * self.settings.report_s + QUIET_MARGIN_S
-        answers = [sight for sight in await self._sights() if sight is not None]
-        if 2 * len(answers) < len(self.settings.peers):
-            return False  # it may be this node that is cut off
-        ages = [self.now() - self._worker_at, *(sight.worker_age_s for sight in answers)]
-        return min(ages) >= quiet_s
-
-    async def _reaches(self, name: NodeId) -> bool:
-        """Is there a way to that node's machine? A refusal comes from there, too."""
-        client = self._peer_client(name)
-        if client is None:
-            return True
-        try:
-            await peers.get_sight(client, PEER_TIMEOUT_S)
-        except (Refused, BadMessage):
-            return True
-        except NoResponse:
-            return False
-        return True
-
-    def _set_alone(self, alone: bool) -> None:
-        if alone != self._alone:
-            log.info("the state service serves %s", "others only" if alone else "this node")
-        self._alone = alone
-        if alone and self.leader is not None and self.now() >= self.lease_until:
+    def _passed_by(self) -> None:
+        if self.leader is not None and self.now() >= self.lease_until:
             self._step_down("others are served, and may lead by now")
 
     async def _running(self, job: JobId) -> int:
@@ -346,7 +274,7 @@
         if self.now() - self._running_at > RUNNING_AGE_S:
             self._running_at = self.now()
             known = self.view.leader
-            client = None if known is None else self._peer_client(known.node)
+            client = None if known is None else self.sight.client(known.node)
             try:
                 self._running_counts = (
                     await peers.get_running(client, PEER_TIMEOUT_S)
@@ -357,14 +285,6 @@
                 log.debug("running counts: %s", error)
         return self._running_counts.get(job, 0)
 
-    def _peer_client(self, name: NodeId) -> Client | None:
-        if name not in self._peers:
-            for peer in self.settings.peers:
-                if peer.name == name:
-                    host, port = peer.address.host, peer.address.port
-                    self._peers[name] = self.connect(host, port, PEER_LINKS)
-        return self._peers.get(name)
-
     # -- election ------------------------------------------------------------------------
 
     def _on_change(self, touched: list[JobId]) -> None:
@@ -491,7 +411,7 @@
             self._may_feed,
             lambda: self.sync.proved_at,
             self._deposed,
-            self._workers_silent,
+            self.sight.workers_silent,
             self.estimates,
             self.connect,
             self.wall,
--- /dev/null
+++ b/dunehold/coordination/picture/guarantees.py
@@ -0,0 +1,60 @@
+"""Which jobs lie within their team's guarantee, and which runs beyond it."""
+
+from __future__ import annotations
+
+from dunehold.bookkeeping.hosts import Run
+from dunehold.bookkeeping.ledger import Ledger
+from dunehold.coordination.picture.health import Health
+from dunehold.coordination.picture.progress import JobProgress
+from dunehold.settings import Settings
+from dunehold.types import EPSILON, NO_ROOM, AttemptId, JobId, Room, Team
+
+
+def within(
+    settings: Settings, ledger: Ledger, health: Health, jobs: dict[JobId, JobProgress]
+) -> set[JobId]:
+    """Jobs that fit their team's guarantee together with its earlier unfinished jobs."""
+    found: set[JobId] = set()
+    if not any(t.guarantee.cpus or t.guarantee.gpus for t in settings.teams.values()):
+        return found
+    sums: dict[Team, Room] = {}
+    active = ledger.view.active
+    records = [active[job] for job in jobs if job in active]
+    for record in sorted(records, key=lambda r: r.accepted_at):
+        progress = jobs[record.id]
+        spec = progress.spec
+        team = settings.teams.get(spec.team)
+        if team is None or (team.guarantee.cpus <= 0 and team.guarantee.gpus <= 0):
+            continue
+        if health.broken(record.id):
+            continue  # it takes no room of the guarantee from jobs that can run
+        left = len(progress.waiting) + len(ledger.by_job.get(record.id, ()))
+        need = spec.need
+        total = sums.get(spec.team, NO_ROOM).plus(Room(need.cpus * left, need.gpus * left, 0.0))
+        sums[spec.team] = total
+        if team.guarantee.holds(total):
+            found.add(spec.id)
+    return found
+
+
+def borrowed(settings: Settings, ledger: Ledger) -> set[AttemptId]:
+    """Runs beyond their team's guarantee, the latest started first to go."""
+    over = {
+        team.name: team.guarantee
+        for team in settings.teams.values()
+        if not team.guarantee.holds(ledger.team_use(team.name)._replace(memory_gb=0.0))
+    }
+    by_team: dict[Team, list[Run]] = {}
+    for runs in ledger.present.values():
+        for run in runs:
+            if run.team in over:
+                by_team.setdefault(run.team, []).append(run)
+    beyond: set[AttemptId] = set()
+    for name, found in by_team.items():
+        guarantee = over[name]
+        total = NO_ROOM
+        for run in sorted(found, key=lambda r: r.planned_at):
+            total = total.plus(run.need)
+            if total.cpus > guarantee.cpus + EPSILON or (total.gpus > guarantee.gpus + EPSILON):
+                beyond.add(run.id)
+    return beyond
--- a/dunehold/coordination/picture.py
+++ b/dunehold/coordination/picture/picture.py
@@ -2,26 +2,27 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections import deque
 from dataclasses import dataclass, field
 from itertools import islice
 
-from dunehold.bookkeeping.ledger import Host, Ledger, Run, host_allowed
+from dunehold.bookkeeping.hosts import Host, Run
+from dunehold.bookkeeping.ledger import Ledger, host_allowed
 from dunehold.bookkeeping.records import JobRecord
-from dunehold.coordination.autoscaler import Demand, FleetHost, Offer
-from dunehold.coordination.estimates import Estimates
-from dunehold.coordination.health import Health
+from dunehold.coordination.picture import guarantees
+from dunehold.coordination.picture.aims import finish_limit, next_limit, put_off
+from dunehold.coordination.picture.estimates import Estimates
+from dunehold.coordination.picture.health import Health
+from dunehold.coordination.picture.offers import Demand, FleetHost, Offer
+from dunehold.coordination.picture.progress import JobProgress, unfinished
 from dunehold.coordination.scheduler.model import Entry, HostState, RunState, Snapshot
 from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.users import JobSpec
-from dunehold.settings import Objective, Settings
+from dunehold.settings import Settings
 from dunehold.types import (
     EPSILON,
     MANY,
-    NO_ROOM,
-    AttemptId,
     HostId,
     Image,
     JobId,
@@ -29,7 +30,6 @@
     MonotonicTime,
     Rank,
     Room,
-    TaskId,
     TaskPhase,
     Team,
     TypeName,
@@ -39,38 +39,12 @@
 TASKS_A_PLAN = 200
 SUSPECT_PENALTY_S = 30.0
 SUSPECT_S = 60.0
-ENOUGH_PEERS, MOST_DURATIONS = 4, 200
-DEFAULT_LIMIT_S, DEFAULT_LIMIT_RUNS = 60.0, 3.0  # for jobs that no aim speaks of
-LADDER = 2.0
 TRIAGE_ROUNDS = 3
 SCARCITY_HALF_LIFE_S = 60.0
 BURST_HALF_LIFE_S = 60.0
 ORDER_S = 0.5  # the log of starts, and the way to the worker
 
 
-@dataclass(slots=True)
-class JobProgress:
-    """What the leader knows of an active job beyond its record."""
-
-    spec: JobSpec
-    waiting: set[int]
-    limits: list[float] = field(default_factory=list)  # when its aims want it complete
-    start_limit: float = MANY  # when its class wants it started
-    durations: list[float] = field(default_factory=list)  # of its tasks, in order
-    held_until: MonotonicTime = MonotonicTime(-1e9)
-
-
-def slowness(progress: JobProgress, ran_s: float) -> float | None:
-    """A run's time by that of its job's other tasks, which are alike.
-
-    None until half of them have ended: those that end first are the fast ones.
-    """
-    known = progress.durations
-    if len(known) < max(ENOUGH_PEERS, min(progress.spec.tasks // 2, MOST_DURATIONS)):
-        return None
-    return ran_s / max(known[len(known) * 3 // 4], 1.0)
-
-
 @dataclass(slots=True)
 class _Pictured:
     """A machine as plans see it, good for its version of the books and until a moment."""
@@ -108,7 +82,7 @@
         spec = record.spec
         assert spec is not None
         aims = self.settings.objectives
-        limits = sorted(limit for a in aims if (limit := _finish_limit(a, spec)) is not None)
+        limits = sorted(limit for a in aims if (limit := finish_limit(a, spec)) is not None)
         waits = [a.within_s for a in aims if a.kind == "wait" and a.job_class == spec.job_class]
         return JobProgress(
             spec, unfinished(record, self.ledger), limits, min(waits, default=MANY)
@@ -123,7 +97,7 @@
         wall: WallTime,
     ) -> Snapshot:
         if self.guaranteed is None:
-            self.guaranteed = self._guaranteed_jobs(jobs)
+            self.guaranteed = guarantees.within(self.settings, self.ledger, self.health, jobs)
         entries = []
         for job, progress in jobs.items():
             if not progress.waiting or self._held(job, progress, now):
@@ -149,7 +123,7 @@
             now=now,
             scarcity=self.scarcity,
             reserve_cpus=self.reserve_cpus(now),
-            borrowed=self._borrowed_runs,
+            borrowed=lambda: guarantees.borrowed(self.settings, self.ledger),
         )
 
     def note_arrival(self, spec: JobSpec, now: MonotonicTime) -> None:
@@ -245,7 +219,7 @@
         rounds = self.put_off.get(progress.spec.id, 0)
         return (
             float(rounds),
-            _next_limit(progress, waited, run_s, rounds) - waited - run_s,
+            next_limit(progress, waited, run_s, rounds) - waited - run_s,
             at,
         )
 
@@ -289,10 +263,10 @@
                     progress = jobs[job]
                     run_s = self.estimates.run_s(progress.spec)
                     waited = max(0.0, wall - active[job].accepted_at)
-                    start = _next_limit(progress, waited, run_s, rounds) - waited - run_s
+                    start = next_limit(progress, waited, run_s, rounds) - waited - run_s
                     cpus = len(progress.waiting) * progress.spec.need.cpus
                     rows.append((start, job, cpus, progress.spec.job_class))
-                wanted, pending = _put_off(rows, wanted, free, rate)
+                wanted, pending = put_off(rows, wanted, free, rate)
                 for job in pending:
                     self.put_off[job] = rounds + 1
 
@@ -314,7 +288,7 @@
         if found < MANY:
             return found
         # All are missed, or there are none: until it rises on the list again.
-        return max(0.0, _next_limit(progress, waited, run_s, 0) - waited - run_s)
+        return max(0.0, next_limit(progress, waited, run_s, 0) - waited - run_s)
 
     def _start_s(self, spec: JobSpec) -> float:
         """From the decision to a running task: the command's way, and mostly a fetch."""
@@ -398,56 +372,6 @@
             saves=spec is not None and spec.checkpoint_s > 0,
         )
 
-    def _guaranteed_jobs(self, jobs: dict[JobId, JobProgress]) -> set[JobId]:
-        """Jobs that fit their team's guarantee together with its earlier unfinished jobs."""
-        found: set[JobId] = set()
-        if not any(t.guarantee.cpus or t.guarantee.gpus for t in self.settings.teams.values()):
-            return found
-        sums: dict[Team, Room] = {}
-        active = self.ledger.view.active
-        records = [active[job] for job in jobs if job in active]
-        for record in sorted(records, key=lambda r: r.accepted_at):
-            progress = jobs[record.id]
-            spec = progress.spec
-            team = self.settings.teams.get(spec.team)
-            if team is None or (team.guarantee.cpus <= 0 and team.guarantee.gpus <= 0):
-                continue
-            if self.health.broken(record.id):
-                continue  # it takes no room of the guarantee from jobs that can run
-            left = len(progress.waiting) + len(self.ledger.by_job.get(record.id, ()))
-            need = spec.need
-            total = sums.get(spec.team, NO_ROOM).plus(
-                Room(need.cpus * left, need.gpus * left, 0.0)
-            )
-            sums[spec.team] = total
-            if team.guarantee.holds(total):
-                found.add(spec.id)
-        return found
-
-    def _borrowed_runs(self) -> set[AttemptId]:
-        """Runs beyond their team's guarantee, the latest started first to go."""
-        over = {
-            team.name: team.guarantee
-            for team in self.settings.teams.values()
-            if not team.guarantee.holds(self.ledger.team_use(team.name)._replace(memory_gb=0.0))
-        }
-        by_team: dict[Team, list[Run]] = {}
-        for runs in self.ledger.present.values():
-            for run in runs:
-                if run.team in over:
-                    by_team.setdefault(run.team, []).append(run)
-        borrowed: set[AttemptId] = set()
-        for name, found in by_team.items():
-            guarantee = over[name]
-            total = NO_ROOM
-            for run in sorted(found, key=lambda r: r.planned_at):
-                total = total.plus(run.need)
-                if total.cpus > guarantee.cpus + EPSILON or (
-                    total.gpus > guarantee.gpus + EPSILON
-                ):
-                    borrowed.add(run.id)
-        return borrowed
-
     def weigh(self, jobs: dict[JobId, JobProgress], now: MonotonicTime) -> None:
         """Scarcity: how much of a type's room goes to work that fits no other type.
 
@@ -541,69 +465,3 @@
         return host_allowed(spec, offer.type, offer.zone, offer.spot)
 
     return allowed
-
-
-def _put_off(
-    rows: list[tuple[float, JobId, float, str]], wanted: float, free: float, rate: float
-) -> tuple[float, list[JobId]]:
-    """CPUs for all that can start in time, and the jobs that are put off.
-
-    Rows hold the latest start, the job, its CPUs and its class.
-    """
-    taken: dict[str, list[tuple[float, JobId]]] = {}
-    late: list[JobId] = []
-    for start, job, cpus, job_class in sorted(rows):
-        wanted += cpus
-        alike = taken.setdefault(job_class, [])
-        heapq.heappush(alike, (-cpus, job))
-        while alike and wanted > free + rate * start:
-            spared, other = heapq.heappop(alike)
-            wanted += spared
-            late.append(other)
-    return wanted, late
-
-
-def _next_limit(progress: JobProgress, waited: float, run_s: float, rounds: int) -> float:
-    """The next aim that the job can still meet, and has not given up.
-
-    A job that has missed its aims steps down to multiples of the last one: it lets those
-    pass that can still be in time, and rises again as that rung comes near, so nothing
-    waits for ever.
-    """
-    needed = waited + run_s
-    limits = progress.limits or [max(DEFAULT_LIMIT_S, DEFAULT_LIMIT_RUNS * run_s)]
-    for limit in limits:
-        if limit >= needed:
-            if rounds <= 0:
-                return limit
-            rounds -= 1
-    limit = limits[-1]
-    while limit < needed or rounds > 0:
-        if limit >= needed:
-            rounds -= 1
-        limit = limit * LADDER + 1.0
-    return limit
-
-
-def _finish_limit(aim: Objective, spec: JobSpec) -> float | None:
-    """When the aim wants the job complete, from its submission."""
-    if aim.job_class != spec.job_class:
-        return None
-    if aim.kind == "finished":
-        return aim.within_s
-    if aim.kind == "deadline" and spec.deadline_s is not None:
-        return spec.deadline_s * aim.times
-    return None
-
-
-def unfinished(record: JobRecord, ledger: Ledger) -> set[int]:
-    """Tasks of a job that are neither done nor, possibly, on a machine."""
-    spec = record.spec
-    assert spec is not None
-    return {
-        index
-        for index in range(spec.tasks)
-        if not ledger.is_done(record, index)
-        and TaskId(record.id, index) not in ledger.present
-        and not ledger.may_run_unseen(TaskId(record.id, index))
-    }
--- /dev/null
+++ b/dunehold/coordination/scheduler/clearing.py
@@ -0,0 +1,146 @@
+"""Room that is cleared for somebody: by rank, for guarantees, and from the background.
+
+Work is stopped only where less of it is lost than the stop spares in waiting.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+
+from dunehold.coordination.scheduler.floor import PLANNED, Floor
+from dunehold.coordination.scheduler.model import Entry, HostState, RunState
+from dunehold.types import NO_ROOM, AttemptId, HostId, Rank, Tier
+
+NO_AIM_S = 1e6
+LONGEST_WAIT_S = 600.0  # stands for waits without an end in sight
+GIVE_BACK_S = 3.0  # work of the lowest rank makes way for what would wait longer
+RESTART_S = 5.0  # to save, stop and begin again elsewhere
+
+
+class Clearing(Floor):
+    def _could_preempt(self, entry: Entry) -> bool:
+        """Is there any work that may be stopped for it?"""
+        return entry.rank > self.lowest_rank or (entry.guaranteed and bool(self.borrowed))
+
+    @property
+    def lowest_rank(self) -> Rank:
+        if self._lowest is None:
+            ranks = (host.lowest for host in self._all_hosts())
+            self._lowest = min(ranks, default=Rank.PRODUCTION)
+        return self._lowest
+
+    @property
+    def borrowed(self) -> set[AttemptId]:
+        if self._borrowed is None:
+            self._borrowed = self.snapshot.borrowed()
+        return self._borrowed
+
+    def _may_preempt(self, entry: Entry, run: RunState, below: Rank) -> bool:
+        """Lower priority, or borrowed room that a team needs for its guarantee."""
+        if run.stopping or run.gang or run.id.attempt == PLANNED:
+            return False
+        if run.rank < below:
+            return True
+        return (
+            below == entry.rank
+            and entry.guaranteed
+            and run.team != entry.team
+            and run.id in self.borrowed
+        )
+
+    def _in_time(self, entry: Entry, wanted: int, within_s: float) -> int:
+        """How many of its tasks find room in time, with nothing stopped.
+
+        What frees up is promised to tasks earlier on the list first: counted on by every
+        job, the same room would let all of them wait, and stop nothing for any.
+        """
+        # By CPUs alone, which jobs of a class share: this is looked up for each kind of need.
+        need = entry.need._replace(memory_gb=0.0)
+        limit = self.now + within_s
+        count = 0.0
+        for kind, groups in self._types_for(entry):
+            slots = bisect_left(self._slots(need, groups), limit)
+            before = self.promised.get(kind, 0.0) - self.own_promise.get(kind, 0.0)
+            count += max(0.0, slots - before / max(need.cpus, 0.01))
+        return min(wanted, int(count))
+
+    def _late(self, entry: Entry) -> tuple[int, Rank]:
+        """For how many of its tasks room must be cleared, and below which rank.
+
+        Work of the lowest rank takes what is left, and gives it back as soon as others
+        would wait for it; other work makes way for what would miss an aim.
+        """
+        none = (0, entry.rank)
+        if self.preempting_left <= 0 or self.stops_left <= 0 or not self._could_preempt(entry):
+            return none
+        wanted = min(entry.team_slots, len(entry.waiting))
+        if entry.patience_s < NO_AIM_S:
+            late = wanted - self._in_time(entry, wanted, entry.patience_s)
+            if late > 0:
+                return late, entry.rank
+        if entry.rank > self.lowest_rank == Rank.LOW:
+            late = wanted - self._in_time(entry, wanted, min(entry.patience_s, GIVE_BACK_S))
+            return max(0, late), Rank(Rank.LOW + 1)
+        return none
+
+    def _preempt(self, entry: Entry, shadow_s: float, late: int, below: Rank) -> None:
+        """Clear room for so many tasks, where the least work is lost.
+
+        Work is stopped only where less of it is lost than the stop spares in waiting.
+        """
+        wait = min(max(shadow_s, entry.run_s), LONGEST_WAIT_S)
+        worth = wait * max(entry.need.cpus, 1.0)
+        options: list[tuple[float, HostId, HostState, list[RunState]]] = []
+        for group in self._groups_for(entry):
+            for host in group.hosts.values():
+                if host.ready_at > self.now or not self._suits(entry, host):
+                    continue
+                if host.lowest >= below and not (below == entry.rank and entry.guaranteed):
+                    continue  # nothing there may be stopped for it
+                if host.free.holds(entry.need):
+                    continue  # it is held for the head, which goes first
+                choice = self._victims(entry, host, below)
+                if choice is not None and choice[0] <= worth:
+                    options.append((choice[0], host.id, host, choice[1]))
+        options.sort(key=lambda option: option[:2])
+        for _, _, host, victims in options[:late]:
+            if len(victims) > self.stops_left:
+                return
+            self.claimed[host.id] = self.claimed.get(host.id, NO_ROOM).plus(entry.need)
+            for run in victims:
+                self._stop(host, run, f"room for {entry.job}")
+
+    def _victims(
+        self, entry: Entry, host: HostState, below: Rank
+    ) -> tuple[float, list[RunState]] | None:
+        """The work lost, and whose, if this machine made room; None if it can't."""
+        candidates = [run for run in host.runs if self._may_preempt(entry, run, below)]
+        free = self._unclaimed(host)
+        for run in host.runs:
+            if run.stopping:
+                free = free.plus(run.need)
+        victims: list[RunState] = []
+        loss = 0.0
+        for run in sorted(candidates, key=lambda r: (not r.saves, -r.began_at)):
+            if free.holds(entry.need):
+                break
+            free = free.plus(run.need)
+            victims.append(run)
+            lost_s = RESTART_S if run.saves else self.now - run.began_at + RESTART_S
+            loss += lost_s * run.need.cpus
+        return (loss, victims) if free.holds(entry.need) else None
+
+    def _evict_background(self, entry: Entry, host: HostState) -> None:
+        free = host.free
+        victims = []
+        for run in sorted(host.runs, key=lambda r: -r.began_at):
+            if free.holds(entry.need):
+                break
+            if run.stopping:
+                free = free.plus(run.need)
+            elif run.tier is Tier.BACKGROUND:
+                free = free.plus(run.need)
+                victims.append(run)
+        if free.holds(entry.need):
+            for run in victims:
+                self._stop(host, run, f"room reserved for {entry.job}")
--- /dev/null
+++ b/dunehold/coordination/term/__init__.py
@@ -0,0 +1,1 @@
+"""One term of leadership: reports, placement, commands."""
--- a/dunehold/coordination/delivery.py
+++ b/dunehold/coordination/term/delivery.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from dunehold.bookkeeping.ledger import Host, Ledger
+from dunehold.bookkeeping.hosts import Host
+from dunehold.bookkeeping.ledger import Ledger
 from dunehold.protocol import workers
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.workers import Report
--- a/dunehold/coordination/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -5,21 +5,23 @@
 import asyncio
 import logging
 import math
-from bisect import insort
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
-from dunehold.bookkeeping.ledger import Exit, Host, Ledger, Outcome, Run
+from dunehold.bookkeeping.hosts import Exit, Host, Outcome, Run
+from dunehold.bookkeeping.ledger import Ledger
 from dunehold.bookkeeping.view import View
-from dunehold.coordination.delivery import Delivery
-from dunehold.coordination.estimates import Estimates
-from dunehold.coordination.fleet import Fleet
-from dunehold.coordination.health import Health
-from dunehold.coordination.picture import MOST_DURATIONS, JobProgress, Picture, slowness
-from dunehold.coordination.recorder import Deposed, Recorder
+from dunehold.coordination.durable.recorder import Deposed, Recorder
+from dunehold.coordination.fleet.fleet import Fleet
+from dunehold.coordination.picture.estimates import Estimates
+from dunehold.coordination.picture.health import Health
+from dunehold.coordination.picture.picture import Picture
+from dunehold.coordination.picture.progress import JobProgress
 from dunehold.coordination.scheduler.measy import plan
 from dunehold.coordination.scheduler.model import Plan, Policy, Reservation
+from dunehold.coordination.term.delivery import Delivery
+from dunehold.coordination.term.judge import Judge
 from dunehold.protocol import workers
 from dunehold.protocol.cloud import CloudClient, MachineType
 from dunehold.protocol.workers import Command, Report
@@ -46,7 +48,6 @@
 SCALE_S = 1.0
 LOG_S = 10.0
 PREEMPT_S = 0.5
-SLOW_RATIO, MOST_SLOW, SLOW_RESULTS = 1.6, 4.0, 2
 DEAF_REPORTS = 3.0
 # With many machines, some report within any second: silence is told from chance sooner.
 MANY_HOSTS, SILENT_MARGIN_S = 8, 1.0
@@ -55,7 +56,6 @@
 SILENT_SHARE = 0.1  # of the fleet: with more unheard of, its size is not known well enough
 PLAN_SHARE = 0.15  # of the time, at most, goes on plans
 DIRECT_SOCKET_SHARE = 0.25
-SICK = "tasks fail on it"
 REFUSED_HOLD_S = 1.0
 
 
@@ -83,6 +83,7 @@
     picture: Picture = field(init=False)
     delivery: Delivery = field(init=False)
     fleet: Fleet = field(init=False)
+    judge: Judge = field(init=False)
     _dirty: bool = True
     _planned_at: MonotonicTime = MonotonicTime(-1e9)
     _plan_gap_s: float = 0.0
@@ -102,6 +103,9 @@
         self.picture = Picture(
             self.settings, self.ledger, self.estimates, self.types, self.health
         )
+        self.judge = Judge(
+            self.ledger, self.recorder, self.health, self.picture, self._note_change
+        )
         self.delivery = Delivery(
             self.settings,
             self.ledger,
@@ -294,64 +298,20 @@
         log.info("attempt %s on %s exited: %s", run.id, host.id, exit_.why.value)
         if exit_.why is Why.DONE:
             if progress is not None:
-                self._rejudge({host.id, *self.health.completed(job, host.id)})
+                self.judge.rejudge({host.id, *self.health.completed(job, host.id)}, self.now())
                 if run.duration_s is not None and not run.adopted:
                     self.estimates.learn(progress.spec, run.duration_s)
-                    self._judge_speed(host, progress, run.duration_s)
+                    self.judge.judge_speed(host, progress, run.duration_s)
             if not run.service:
                 whole = progress is None or not (progress.waiting or job in self.ledger.by_job)
                 self.recorder.job(job, whole)
                 return
         elif exit_.why is Why.ERROR and progress is not None:
-            self._failed(host, job)
+            self.judge.failed(host, job, self.now())
         elif exit_.why in (Why.NO_ROOM, Why.BUSY, Why.UNKNOWN) and progress is not None:
             progress.held_until = MonotonicTime(self.now() + REFUSED_HOLD_S)
         self._requeue(run.id.task)
 
-    def _failed(self, host: Host, job: JobId) -> None:
-        was_broken = self.health.broken(job)
-        self._rejudge(self.health.failed(job, host.id, self.now()))
-        if self.health.broken(job) and not was_broken:
-            log.info("job %s fails on every machine: tried seldom from now on", job)
-            self.recorder.broken_jobs(self.health.broken_jobs())
-            self.picture.guaranteed = None
-
-    def _rejudge(self, hosts: set[HostId]) -> None:
-        """Bring suspicion and quarantine in line with what failures say now."""
-        for host_id in sorted(hosts):
-            host = self.ledger.hosts.get(host_id)
-            if host is None:
-                continue
-            suspect, sick = self.health.suspect(host_id), self.health.sick(host_id)
-            if suspect != (host.error_at is not None):
-                host.error_at = self.now() if suspect else None
-                host.version += 1
-            if sick and host.draining is None:
-                host.draining = SICK
-                host.quarantined_at = self.now()
-                log.info("host %s is quarantined: %s", host.id, SICK)
-            elif not sick and host.draining == SICK and not host.deleting:
-                host.draining = host.quarantined_at = None
-                log.info("host %s is used again: the jobs were at fault", host.id)
-                self._dirty = True
-
-    def _judge_speed(self, host: Host, progress: JobProgress, ran_s: float) -> None:
-        """One slow machine makes a whole array late. Once may be chance; twice in a row the
-        machine is returned as soon as it is empty, and is not used meanwhile."""
-        ratio = slowness(progress, ran_s)
-        if len(progress.durations) < MOST_DURATIONS:
-            insort(progress.durations, ran_s)
-        if ratio is None:
-            return
-        slow = ratio >= SLOW_RATIO
-        host.slow_results = host.slow_results + 1 if slow else 0
-        before, host.slowness = host.slowness, min(ratio, MOST_SLOW) if slow else 1.0
-        if host.slowness != before:
-            host.version += 1
-        if host.slow_results >= SLOW_RESULTS and host.draining is None:
-            host.draining = "much slower than others"
-            log.info("host %s is quarantined: %.1f times as slow", host.id, ratio)
-
     def _requeue(self, task: TaskId) -> None:
         record = self.view.active.get(task.job)
         progress = self.progress.get(task.job)
@@ -365,6 +325,9 @@
 
     # -- placement ---------------------------------------------------------------------
 
+    def _note_change(self) -> None:
+        self._dirty = True
+
     def make_dirty(self) -> None:
         self._dirty = True
         if self._plan_timer is None:
--- /dev/null
+++ b/dunehold/coordination/users/__init__.py
@@ -0,0 +1,1 @@
+"""What any node does for users: submissions, questions, cancellations."""
--- a/dunehold/coordination/intake.py
+++ b/dunehold/coordination/users/intake.py
@@ -12,8 +12,8 @@
 from dunehold.bookkeeping.ledger import host_allowed
 from dunehold.bookkeeping.records import JobRecord
 from dunehold.bookkeeping.view import View
-from dunehold.coordination.submissions import Submissions
-from dunehold.coordination.sync import TROUBLE, Sync
+from dunehold.coordination.durable.sync import TROUBLE, Sync
+from dunehold.coordination.users.submissions import Submissions
 from dunehold.protocol import users
 from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.codec import BadMessage
--- a/dunehold/coordination/submissions.py
+++ b/dunehold/coordination/users/submissions.py
@@ -12,7 +12,7 @@
 from dunehold.bookkeeping import records
 from dunehold.bookkeeping.packs.rows import Accepted, Packer, own_bytes
 from dunehold.bookkeeping.view import View
-from dunehold.coordination.sync import TROUBLE, Sync
+from dunehold.coordination.durable.sync import TROUBLE, Sync
 from dunehold.protocol import codec
 from dunehold.protocol.state import (
     ABSENT,
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -7,8 +7,9 @@
 from types import SimpleNamespace
 from typing import Any
 
-from dunehold.coordination.autoscaler import Demand, FleetHost, Offer, decide
-from dunehold.coordination.fleet import Fleet
+from dunehold.coordination.fleet.autoscaler import decide
+from dunehold.coordination.fleet.fleet import Fleet
+from dunehold.coordination.picture.offers import Demand, FleetHost, Offer
 from dunehold.protocol.cloud import MachineType, NoCapacity, Rental
 from dunehold.types import Duration, HostId, MonotonicTime, RentalId, Room, TypeName, Zone
 from tests.virtual import VirtualLoop
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -16,7 +16,7 @@
 from dunehold.bookkeeping import records
 from dunehold.bookkeeping.ledger import Ledger
 from dunehold.coordination.node import Node
-from dunehold.coordination.picture import Picture
+from dunehold.coordination.picture.picture import Picture
 from dunehold.emulator.aims import Aims
 from dunehold.emulator.check import UNHEARD_S, Checker, check
 from dunehold.emulator.history import Event, History, read
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from dunehold.coordination.health import Health
+from dunehold.coordination.picture.health import Health
 from dunehold.types import HostId, JobId, MonotonicTime
 from tests.test_rules import play
 from tests.world import World
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dunehold.bookkeeping.ledger import Host, Ledger, Run
+from dunehold.bookkeeping.hosts import Host, Run
+from dunehold.bookkeeping.ledger import Ledger
 from dunehold.bookkeeping.records import HostRecord, JobRecord, RelayRecord
 from dunehold.bookkeeping.view import View
 from dunehold.protocol.cloud import MachineType
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -9,9 +9,11 @@
 
 import pytest
 
-from dunehold.coordination.health import Health
-from dunehold.coordination.picture import JobProgress, Picture, _put_off, slowness
-from dunehold.coordination.scheduler.measy import _Walk, plan
+from dunehold.coordination.picture.aims import put_off
+from dunehold.coordination.picture.health import Health
+from dunehold.coordination.picture.picture import Picture
+from dunehold.coordination.picture.progress import JobProgress, slowness
+from dunehold.coordination.scheduler.measy import Walk, plan
 from dunehold.coordination.scheduler.model import (
     Entry,
     HostState,
@@ -312,7 +314,7 @@
         assert sum(late) + hold.need.cpus <= machine.total.cpus + 1e-6
 
 
-class PlainWalk(_Walk):
+class PlainWalk(Walk):
     """One task at a time, every machine looked at: what the walk must come to as well."""
 
     def _place(self, entry: Entry) -> None:
@@ -377,20 +379,20 @@
 def test_a_plan_s_work_grows_with_fleet_plus_backlog(monkeypatch: pytest.MonkeyPatch) -> None:
     """600 machines and a backlog of 3,000 jobs: their product would be 1.8 million looks."""
     looks = 0
-    fits_now, fits_at = _Walk._fits_now, _Walk._fits_at
+    fits_now, fits_at = Walk._fits_now, Walk._fits_at
 
-    def counted(self: _Walk, job: Entry, machine: HostState) -> bool:
+    def counted(self: Walk, job: Entry, machine: HostState) -> bool:
         nonlocal looks
         looks += 1
         return fits_now(self, job, machine)
 
-    def counted_at(self: _Walk, *arguments) -> float:  # type: ignore[no-untyped-def]
+    def counted_at(self: Walk, *arguments) -> float:  # type: ignore[no-untyped-def]
         nonlocal looks
         looks += 1
         return fits_at(self, *arguments)
 
-    monkeypatch.setattr(_Walk, "_fits_now", counted)
-    monkeypatch.setattr(_Walk, "_fits_at", counted_at)
+    monkeypatch.setattr(Walk, "_fits_now", counted)
+    monkeypatch.setattr(Walk, "_fits_at", counted_at)
     snapshot = random_snapshot(random.Random(1), 600, 3000)
     snapshot.team_room.clear()
     for job in snapshot.entries:
@@ -404,9 +406,9 @@
     """Those about to be late went first, and a backlog made all of them late."""
     rows = [(10.0, JobId("a"), 60.0, "x"), (12.0, JobId("b"), 30.0, "x")]
     rows += [(13.0, JobId("d"), 1.0, "y"), (14.0, JobId("c"), 40.0, "x")]
-    wanted, late = _put_off(rows, 0.0, 20.0, 4.0)
+    wanted, late = put_off(rows, 0.0, 20.0, 4.0)
     assert (wanted, late) == (71.0, [JobId("a")])
-    assert _put_off(rows, 0.0, 20.0, 100.0) == (131.0, [])
+    assert put_off(rows, 0.0, 20.0, 100.0) == (131.0, [])
 
 
 def test_a_slow_machine_gets_no_work_that_would_be_late_there() -> None:
--- a/tests/test_packs.py
+++ b/tests/test_packs.py
@@ -26,9 +26,9 @@
     own_bytes,
 )
 from dunehold.bookkeeping.view import View
-from dunehold.coordination.ends import Ends, Sweeper
-from dunehold.coordination.submissions import Submissions, _Batch, _Submission
-from dunehold.coordination.sync import Sync
+from dunehold.coordination.durable.ends import Ends, Sweeper
+from dunehold.coordination.durable.sync import Sync
+from dunehold.coordination.users.submissions import Submissions, _Batch, _Submission
 from dunehold.emulator.model.base import Reply
 from dunehold.emulator.model.store import Limits, Store
 from dunehold.protocol import codec
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,9 +10,10 @@
 import pytest
 
 from dunehold.bookkeeping.ledger import Ledger
-from dunehold.coordination.leader import Leader
+from dunehold.coordination.election.relay import Relay
+from dunehold.coordination.election.sight import Sight
 from dunehold.coordination.node import Node
-from dunehold.coordination.relay import Relay
+from dunehold.coordination.term.leader import Leader
 from dunehold.emulator.model.cloud import Boots
 from dunehold.settings import Settings
 from tests import world as world_module
@@ -339,7 +340,7 @@
     async def never(self: Node) -> bool:
         return False
 
-    monkeypatch.setattr(Node, "_workers_silent", never)
+    monkeypatch.setattr(Sight, "workers_silent", never)
     before = [play(seed, whole_fleet_lost, nodes=5) for seed in (52, 53, 54)]
     waited = [sum(world.waited for world in worlds) for worlds in (mended, before)]
     assert waited[0] < 0.8 * waited[1], waited
