--- a/dunehold/bookkeeping/hosts.py
+++ b/dunehold/bookkeeping/hosts.py
@@ -22,6 +22,8 @@
     Zone,
 )
 
+NEVER_HEARD = MonotonicTime(-1e9)
+
 
 @dataclass(slots=True)
 class Run:
@@ -84,7 +86,7 @@
     runs: dict[AttemptId, Run] = field(default_factory=dict)
     used: Room = NO_ROOM
     images: dict[Image, tuple[MonotonicTime, float]] = field(default_factory=dict)  # use, GB
-    heard_at: MonotonicTime = MonotonicTime(-1e9)  # when its worker was heard of last
+    heard_at: MonotonicTime = NEVER_HEARD  # when its worker was heard of last
     idle_since: MonotonicTime | None = None
     error_at: MonotonicTime | None = None  # a task failed: its job, or this machine
     quarantined_at: MonotonicTime | None = None
@@ -97,6 +99,11 @@
     def free(self) -> Room:
         return self.room.minus(self.used)
 
+    @property
+    def spoke_at(self) -> MonotonicTime:
+        """When its worker was heard of last, whichever token it had seen by then."""
+        return max(self.heard_at, self.fed_at if self.fed_at is not None else NEVER_HEARD)
+
     @property
     def busy(self) -> bool:
         """Something is on it, or may be."""
--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -13,6 +13,7 @@
 
 from dunehold.bookkeeping.hosts import Exit, Host, Outcome, Run
 from dunehold.bookkeeping.records import JobRecord
+from dunehold.bookkeeping.unseen import Unseen
 from dunehold.bookkeeping.view import View
 from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.users import JobSpec
@@ -69,16 +70,10 @@
     use: dict[Team, Room] = field(default_factory=dict)
     done: dict[JobId, set[int]] = field(default_factory=dict)  # reported, maybe not durable
     gone: set[HostId] = field(default_factory=set)
-    # Machines on record on which an earlier leader's tasks may still be. Each leaves once,
-    # when it answers, is fenced or deleted, so no start has to look through the fleet.
-    _unknown: dict[HostId, None] = field(default_factory=dict)
-    _unknown_room: Room = NO_ROOM
+    unseen: Unseen = field(default_factory=Unseen)  # what earlier leaders may have left
     relayed: dict[Zone, MonotonicTime] = field(default_factory=dict)  # fed till then at most
     _relay_changes: dict[Zone, int] = field(default_factory=dict)
     _zones: dict[JobId, dict[Zone, int]] = field(default_factory=dict)
-    # What an earlier leader may have started on machines that are still unknown.
-    _maybe: dict[TaskId, set[HostId]] = field(default_factory=dict)
-    _unseen: dict[JobId, int] = field(default_factory=dict)  # such tasks of each job
     released: list[TaskId] = field(default_factory=list)  # no more among them, to be placed
     _attempts: int = 0
     _gang_attempts: dict[JobId, Attempt] = field(default_factory=dict)
@@ -95,15 +90,9 @@
                 self.took_over_at,
             )
             host.recorded = True
-            self._unknown[record.id] = None
-            self._unknown_room = self._unknown_room.plus(host.room)
+            self.unseen.add(record.id, host.room)
         for placed in self.view.starts.values():
-            for name, tasks in placed.items():
-                if name in self._unknown:
-                    for task in tasks:
-                        self._maybe.setdefault(task, set()).add(name)
-        for task in self._maybe:
-            self._unseen[task.job] = self._unseen.get(task.job, 0) + 1
+            self.unseen.place(placed, self.view.jobs)
 
     # -- machines ------------------------------------------------------------------
 
@@ -124,27 +113,14 @@
 
     def unknown_hosts(self) -> list[Host]:
         """Registered machines on which an earlier leader's tasks may still be."""
-        return [self.hosts[host] for host in self._unknown]
+        return [self.hosts[host] for host in self.unseen.hosts]
 
     def all_known(self) -> bool:
-        return not self._unknown
+        return not self.unseen.hosts
 
     def _settled(self, host: Host) -> None:
         """Nothing of an earlier leader can be on it unseen any more."""
-        if host.id in self._unknown:
-            del self._unknown[host.id]
-            for placed in self.view.starts.values():
-                for task in sorted(placed.get(host.id, ())):
-                    places = self._maybe.get(task)
-                    if places is not None:
-                        places.discard(host.id)
-                        if not places:
-                            del self._maybe[task]
-                            self._unseen[task.job] -= 1
-                            self.released.append(task)
-            self._unknown_room = (
-                self._unknown_room.minus(host.room) if self._unknown else NO_ROOM
-            )
+        self.released += self.unseen.settle(host.id)
 
     def delete_completed(self, host_id: HostId) -> list[Run]:
         """The cloud has answered: the machine and everything on it are gone."""
@@ -353,18 +329,13 @@
         return None
 
     def may_run_unseen(self, task: TaskId) -> bool:
-        """May a machine that has not answered this leader be running it?
-
-        Every start is in the durable log before it is commanded, in a transaction that
-        only the leader's own key lets through. So what the log does not place on a silent
-        machine is not on one, whatever the leader before has done.
-        """
-        return task in self._maybe
+        """May a machine that has not answered this leader be running it?"""
+        return self.unseen.may_run(task)
 
     def may_start_job(self, spec: JobSpec) -> bool:
         """Where a task may be depends on where the job's others are: all must be seen."""
         bound = spec.one_zone or spec.spread or spec.kind is Kind.GANG
-        return not (bound and self._unseen.get(spec.id))
+        return not (bound and self.unseen.of_job(spec.id))
 
     def take_released(self) -> list[TaskId]:
         released, self.released = self.released, []
@@ -375,20 +346,26 @@
         host = self.hosts.get(host_id)
         if host is None or host.fenced:
             return False
-        if host_id in self._unknown:
+        if host_id in self.unseen.hosts:
             return True
         return any(run.host == host_id for run in self.present.get(task, ()))
 
     def team_use(self, team: Team) -> Room:
         return self.use.get(team, NO_ROOM)
 
+    def most_use(self, team: Team) -> Room:
+        """What it may use at most, on machines that have not answered yet included.
+
+        Guards against tasks of an earlier leader that run unseen while others start: what
+        machines may hold counts against the teams whose it is, and holds up no other.
+        """
+        return self.team_use(team).plus(self.unseen.room(team))
+
     def team_allows(self, spec: JobSpec, more: Room = NO_ROOM) -> bool:
         team = self.teams.get(spec.team)
         if team is None:
             return False
-        use = self.team_use(spec.team).plus(spec.need).plus(more)
-        # What machines that have not answered yet hold may all be this team's.
-        return team.allows(use.plus(self._unknown_room))
+        return team.allows(self.most_use(spec.team).plus(spec.need).plus(more))
 
     def is_done(self, record: JobRecord, index: int) -> bool:
         return record.done(index) or index in self.done.get(record.id, ())
--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -37,8 +37,11 @@
 ENDS = PREFIX + "ends/"  # many ends to a key
 PACKING = PREFIX + "packing"  # whether packs of submissions may be written
 BROKEN = PREFIX + "broken"  # jobs that fail on every machine, for the next leader
+ZONES = PREFIX + "zones"  # those that are not well, for the next leader
 START_SLOTS = 256  # the log of starts is a ring of so many keys
 
+CONDITIONS = ("well", "doubtful", "lost", "returning")  # of a zone
+
 Placed = dict[HostId, set[TaskId]]  # machine -> tasks that may have been started there
 
 # One page of done marks is a bitmap of so many tasks: 700 bytes in base64, which fits
@@ -117,6 +120,15 @@
     spot: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneRecord:
+    """What a leader knew of a zone that is, or lately was, not well."""
+
+    condition: str
+    flaps: int
+    size: int  # machines up when it was last well
+
+
 def encode_job_record(spec: JobSpec, phase: JobPhase, accepted_at: WallTime) -> dict[str, Any]:
     return {"phase": phase.value, "at": accepted_at, "job": encode_job(spec)}
 
@@ -243,6 +255,21 @@
     return RelayRecord(Zone(codec.text(value, "zone")), Token(codec.count(value, "token")))
 
 
+def encode_zones(zones: dict[Zone, ZoneRecord]) -> dict[str, list[Any]]:
+    return {zone: [r.condition, r.flaps, r.size] for zone, r in sorted(zones.items())}
+
+
+def decode_zones(value: Any) -> dict[Zone, ZoneRecord]:
+    if not isinstance(value, dict):
+        raise BadMessage("zones record")
+    found = {}
+    for zone, row in value.items():
+        if not isinstance(row, list) or len(row) < 3 or row[0] not in CONDITIONS:
+            raise BadMessage("zones record")
+        found[Zone(zone)] = ZoneRecord(str(row[0]), int(row[1]), int(row[2]))
+    return found
+
+
 def encode_rental(rental: Rental) -> list[Any]:
     return [rental.type, rental.zone, rental.spot, rental.number]
 
--- a/dunehold/bookkeeping/view.py
+++ b/dunehold/bookkeeping/view.py
@@ -32,6 +32,7 @@
     records.RELAYS,
     records.BROKEN,
     records.PACKING,
+    records.ZONES,
 )
 
 
@@ -54,6 +55,7 @@
     # late is refused by them, and can't take a newer one back.
     versions: dict[str, Revision] = field(default_factory=dict)
     broken: set[JobId] = field(default_factory=set)  # found to fail on every machine
+    zones: dict[Zone, records.ZoneRecord] = field(default_factory=dict)  # not well
     orphan_marks: dict[JobId, dict[int, int]] = field(default_factory=dict)
     spent_marks: dict[JobId, None] = field(default_factory=dict)  # done, with marks still kept
     shelf: Shelf = field(default_factory=Shelf)
@@ -119,6 +121,8 @@
                     self.rentals[rental] = records.decode_rental(rental, change.value)
             elif key == records.BROKEN:
                 self.broken = set() if change.deleted else records.decode_broken(change.value)
+            elif key == records.ZONES:
+                self.zones = {} if change.deleted else records.decode_zones(change.value)
             elif key == records.PACKING:
                 self.packing = not change.deleted and bool(change.value)
             elif key == records.LEADER_KEY:
--- a/dunehold/cli.py
+++ b/dunehold/cli.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check-config, submit, status, cancel; and the emulator's part."""
+"""The command line: serve, check-config, users' and operators' commands; the emulator's."""
 
 from __future__ import annotations
 
@@ -43,6 +43,13 @@
     )
     status = commands.add_parser("status", help="show a job's state")
     cancel = commands.add_parser("cancel", help="cancel a job")
+    served = commands.add_parser(
+        "served", help="what is served of each class and team, and which zones are not well"
+    )
+    served.add_argument(
+        "--server", default="127.0.0.1:8081", help="HOST:PORT of any controller's peer_bind"
+    )
+    served.add_argument("--timeout", type=float, default=5.0, help="seconds to wait")
     for command in (status, cancel):
         command.add_argument("job", help="the job's id, such as job-000412")
     for command in (submit, status, cancel):
@@ -143,7 +150,7 @@
 
 
 def _client(options: argparse.Namespace) -> int:
-    from dunehold.protocol import codec, users
+    from dunehold.protocol import codec, peers, users
     from dunehold.transport.http import HttpClient, NoResponse
 
     host, colon, port = options.server.rpartition(":")
@@ -172,6 +179,8 @@
                 return code
         method, target = "POST", users.JOBS_PATH
         sent: bytes | None = codec.dump(users.encode_job(job))
+    elif options.command == "served":
+        method, target, sent = "GET", peers.SERVED_PATH, None
     else:
         if not users.valid_job_id(options.job):
             print("dunehold: a job's id looks like job-000412", file=sys.stderr)
--- a/dunehold/coordination/durable/recorder.py
+++ b/dunehold/coordination/durable/recorder.py
@@ -11,7 +11,7 @@
 from dunehold.bookkeeping import records
 from dunehold.bookkeeping.hosts import Run
 from dunehold.bookkeeping.ledger import Ledger
-from dunehold.bookkeeping.records import HostRecord, JobRecord
+from dunehold.bookkeeping.records import HostRecord, JobRecord, ZoneRecord
 from dunehold.bookkeeping.view import VERSIONED, View
 from dunehold.coordination.durable.ends import Ends, Sweeper
 from dunehold.coordination.durable.sync import TROUBLE, Sync
@@ -19,7 +19,7 @@
 from dunehold.protocol.state import ABSENT, MAX_TXN_BYTES, Priority, StateClient, Txn
 from dunehold.settings import Settings
 from dunehold.transport.http import NoResponse
-from dunehold.types import AttemptId, HostId, JobId, RentalId, Revision, Token
+from dunehold.types import AttemptId, HostId, JobId, RentalId, Revision, Token, Zone
 
 log = logging.getLogger(__name__)
 
@@ -68,6 +68,7 @@
     ended_rentals: dict[RentalId, None] = field(default_factory=dict)
     starts: dict[AttemptId, Run] = field(default_factory=dict)
     new_broken: set[JobId] | None = None  # to be written
+    new_zones: dict[Zone, ZoneRecord] | None = None  # to be written
     ends: Ends = field(init=False)
     sweeper: Sweeper = field(init=False)
     _in_doubt: set[str] = field(default_factory=set)  # keys with a write that may come late
@@ -126,6 +127,12 @@
         self.new_broken = jobs
         self._wake.set()
 
+    def zones(self, zones: dict[Zone, ZoneRecord]) -> None:
+        """A next leader must not learn of a lost zone by another wave of rentals."""
+        if self.new_zones is not None or zones != self.view.zones:
+            self.new_zones = zones
+            self._wake.set()
+
     def end_rental(self, rental: RentalId) -> None:
         self.ended_rentals[rental] = None
         self._wake.set()
@@ -166,6 +173,7 @@
             or self.new_rentals
             or self.ended_rentals
             or self.new_broken is not None
+            or self.new_zones is not None
         )
 
     async def _flush(self) -> None:
@@ -189,6 +197,9 @@
             txn.puts[records.BROKEN] = records.encode_broken(
                 broken & self.view.active.keys(), room
             )
+        zones = self.new_zones
+        if zones is not None and txn.size < limit:
+            txn.puts[records.ZONES] = records.encode_zones(zones)
         jobs = []
         for job in list(self.dirty_jobs):
             if txn.size >= limit:
@@ -226,6 +237,8 @@
             self.ended_rentals.pop(name, None)
         if records.BROKEN in txn.puts and self.new_broken is broken:
             self.new_broken = None
+        if records.ZONES in txn.puts and self.new_zones is zones:
+            self.new_zones = None
         for host_id in hosts:
             # What changed while this was under way is still to be written.
             if self._wanted_host(host_id) == self.view.hosts.get(host_id):
--- a/dunehold/coordination/fleet/fleet.py
+++ b/dunehold/coordination/fleet/fleet.py
@@ -19,6 +19,7 @@
 from dunehold.coordination.picture.offers import Offer
 from dunehold.coordination.picture.picture import Picture
 from dunehold.coordination.picture.progress import JobProgress
+from dunehold.coordination.zones.watch import ZoneWatch
 from dunehold.protocol.cloud import (
     MAX_DELETE,
     MAX_LIST,
@@ -33,7 +34,7 @@
 from dunehold.protocol.codec import BadMessage
 from dunehold.settings import Settings
 from dunehold.transport.http import NoResponse
-from dunehold.types import HostId, JobId, MonotonicTime, RentalId, Token, TypeName
+from dunehold.types import HostId, JobId, MonotonicTime, RentalId, Token, TypeName, Zone
 
 log = logging.getLogger(__name__)
 
@@ -64,11 +65,14 @@
     on_lost: Callable[[list[Run]], None]
     on_removed: Callable[[HostId], None]
     on_change: Callable[[], None]
+    zones: ZoneWatch
     refused: dict[Offer, MonotonicTime] = field(default_factory=dict)
     boots: dict[Offer, deque[tuple[MonotonicTime, bool]]] = field(default_factory=dict)
     late: set[HostId] = field(default_factory=set)  # that should be up by now
     listed: dict[HostId, Listed] = field(default_factory=dict)
     silent_since: MonotonicTime = MonotonicTime(-math.inf)  # nobody heard any machine then
+    _unseen_list: bool = True  # no list of machines has come in this term
+    _listed_at: MonotonicTime = MonotonicTime(-math.inf)  # a list shows what was rented before
     _renting: bool = False
     _rentals: int = 0
 
@@ -121,18 +125,34 @@
         heard = host.fed_at
         if not host.up and heard is None and host.created_at != self.ledger.took_over_at:
             kind = self.types.get(host.type)
-            patience = (kind.boot_s if kind else 30.0) * operator.boot_patience
+            boots = operator.boot_patience
+            if self.zones.lost(host.zone):
+                boots = min(boots, LATE_BOOTS)  # nobody there will hear of it
+            patience = (kind.boot_s if kind else 30.0) * boots
             since = max(host.created_at + patience, attentive_since + self.picture.silent_s)
+            if self._kept_to_listen(host):
+                return None
             return "it does not come up" if now > since else None
         silent_since = max(heard if heard is not None else host.created_at, attentive_since)
         if (host.up or host.fenced) and now - silent_since > operator.silent_return_s:
-            return "it is silent"
+            return self._silent(host, now)
         if host.draining is None or not host.known:
             return None
         if host.quarantined_at is not None and now - host.quarantined_at < QUARANTINE_S:
             return None  # what failed there may yet turn out to fail everywhere
         return None if host.busy else host.draining
 
+    def _silent(self, host: Host, now: MonotonicTime) -> str | None:
+        """Machines beyond a cut that work on are kept, and a few to tell of its end."""
+        if host.busy and self.zones.fed(host.zone, now):
+            return None
+        return None if self._kept_to_listen(host) else "it is silent"
+
+    def _kept_to_listen(self, host: Host) -> bool:
+        """In a lost zone, as long as the cloud still has it."""
+        known = self._unseen_list or host.id in self.listed or host.created_at > self._listed_at
+        return host.id in self.zones.watchers and known
+
     async def _delete(self, hosts: list[HostId]) -> None:
         while True:
             try:
@@ -194,7 +214,10 @@
     # -- renting -------------------------------------------------------------------------
 
     def written_off(self, host: Host) -> bool:
-        """Silent when no controller heard any machine: not counted on until it speaks."""
+        """Silent when no controller heard any machine, or in a lost zone: not counted on until
+        it speaks."""
+        if self.zones.written_off(host):
+            return True
         return not host.known and host.created_at <= self.silent_since
 
     def scale(self, jobs: dict[JobId, JobProgress], now: MonotonicTime) -> None:
@@ -209,6 +232,13 @@
                 for kind in self.types.values()
                 for zone in kind.zones
             }
+        refused |= {
+            Offer(kind.name, zone, spot)
+            for kind in self.types.values()
+            for zone in kind.zones
+            for spot in (True, False)
+            if not self.zones.may_rent(zone)
+        }
         decision = autoscaler.decide(
             self.types,
             [
@@ -222,14 +252,39 @@
             self.picture.kept_cpus(demands, now),
             self.settings.operator.idle_return_s,
         )
-        if decision.rent:
+        wanted = self._probes(now) + self._within_steps(decision.rent)
+        if wanted:
             self._renting = True
-            self.spawn(self._rent_all(decision.rent))
+            self.spawn(self._rent_all(wanted))
         for host_id in decision.give_back:
             host = self.ledger.hosts[host_id]
             if host.draining is None:
                 host.draining = "not needed"
 
+    def _within_steps(self, wanted: list[Rent]) -> list[Rent]:
+        """A zone that is back is filled in steps until it is trusted."""
+        left: dict[Zone, int] = {}
+        found = []
+        for rent in wanted:
+            zone = rent.offer.zone
+            allowed = left.setdefault(zone, self.zones.may_rent(zone))
+            number = min(rent.number, allowed)
+            left[zone] = allowed - number
+            if number > 0:
+                found.append(Rent(rent.offer, number))
+        return found
+
+    def _probes(self, now: MonotonicTime) -> list[Rent]:
+        """One machine, the cheapest, in each lost zone where none is left to be heard."""
+        found = []
+        for zone in self.zones.probes(now):
+            kinds = [kind for kind in self.types.values() if zone in kind.zones]
+            if kinds:
+                cheapest = min(kinds, key=lambda kind: kind.price)
+                log.info("zone %s: a machine is rented to hear of its return", zone)
+                found.append(Rent(Offer(cheapest.name, zone, False), 1))
+        return found
+
     async def _rent_all(self, wanted: list[Rent]) -> None:
         try:
             rentals = []
@@ -311,12 +366,15 @@
 
     def _take_list(self, found: list[Listed], asked: MonotonicTime) -> None:
         self.listed = {item.host: item for item in found}
+        self._unseen_list = False
+        self._listed_at = MonotonicTime(asked - SURE_LAGS * self.settings.list_lag_s)
         for item in found:
             host = self.ledger.hosts.get(item.host)
             if host is not None:
                 host.address = host.address or item.address
                 continue
-            if item.host in self.ledger.gone or item.phase is HostPhase.RUNNING:
+            running = item.phase is HostPhase.RUNNING
+            if item.host in self.ledger.gone or (running and not self.zones.lost(item.zone)):
                 continue  # its worker reports by itself, or it is gone already
             # A rental whose answer was lost, or that was carried out late: it costs money.
             log.info("host %s is listed as %s unexpectedly", item.host, item.phase.value)
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -20,8 +20,9 @@
 from dunehold.coordination.picture.estimates import Estimates
 from dunehold.coordination.term.leader import DIRECT_SOCKET_SHARE, Leader
 from dunehold.coordination.users.intake import Intake
+from dunehold.coordination.users.served import Served
 from dunehold.coordination.users.submissions import Submissions
-from dunehold.protocol import peers, users, workers
+from dunehold.protocol import codec, peers, users, workers
 from dunehold.protocol.cloud import CloudClient, CloudTrouble, MachineType, NoCapacity
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.state import ABSENT, LeaseGone, Priority, StateClient, Txn
@@ -51,6 +52,7 @@
 STATE_LINKS, WATCH_LINKS, CLOUD_LINKS = 16, 2, 4
 PEER_SOCKETS = 16
 RUNNING_AGE_S = 1.0
+SERVED_S = 60.0  # between lines of the log on what is served
 ABSTAIN_S = 6.0
 MOST_PATIENCE = 16  # of terms in which no worker was heard: leadership must not go round
 RESERVED_SOCKETS = 64  # for the state service, the cloud and peers
@@ -91,6 +93,7 @@
     intake: Intake = field(init=False)
     relay: Relay = field(init=False)
     sight: Sight = field(init=False)
+    served: Served = field(init=False)
     estimates: Estimates = field(default_factory=Estimates)
     _running_counts: dict[JobId, int] = field(default_factory=dict)
     _running_at: MonotonicTime = MonotonicTime(-1e9)
@@ -123,6 +126,7 @@
             Duration(max(WATCH_GAP_S, WATCH_COST / requests)),
         )
         self.sight = Sight(settings, self.sync, self.connect, self._passed_by)
+        self.served = Served(settings, self.view, self.wall)
         self.relay = Relay(
             settings,
             self.state,
@@ -197,6 +201,7 @@
             group.create_task(self._forever(self._elect))
             group.create_task(self._forever(self.sight.compare))
             group.create_task(self._forever(self.relay.run))
+            group.create_task(self._forever(self._log_served))
 
     async def _forever(self, work) -> None:  # type: ignore[no-untyped-def]
         """No failure of one activity ends the process."""
@@ -210,6 +215,12 @@
                 log.exception("%s failed and is begun again", work.__qualname__)
                 await asyncio.sleep(1.0)
 
+    async def _log_served(self) -> None:
+        while True:
+            await asyncio.sleep(SERVED_S)
+            if self.leader is not None:
+                log.info("served: %s", self.served.line())
+
     async def _fetch_types(self) -> None:
         while self.types is None:
             try:
@@ -261,6 +272,8 @@
             return Response(200, peers.encode_running(self.leader.running()))
         if request.path == peers.PROOF_PATH:
             return Response(200, peers.encode_sight(self.sight.own()))
+        if request.path == peers.SERVED_PATH:
+            return Response(200, codec.dump(self.served.picture()))
         return Response(404)
 
     def _passed_by(self) -> None:
@@ -288,6 +301,7 @@
     # -- election ------------------------------------------------------------------------
 
     def _on_change(self, touched: list[JobId]) -> None:
+        self.served.note(touched)
         known = self.view.leader
         if (
             self.leader is not None
@@ -415,6 +429,7 @@
             self.estimates,
             self.connect,
             self.wall,
+            self.sight.reaches,
             float(min(2**self._deaf_terms, MOST_PATIENCE)),
         )
         log.info(
--- a/dunehold/coordination/picture/guarantees.py
+++ b/dunehold/coordination/picture/guarantees.py
@@ -6,17 +6,50 @@
 from dunehold.bookkeeping.ledger import Ledger
 from dunehold.coordination.picture.health import Health
 from dunehold.coordination.picture.progress import JobProgress
+from dunehold.coordination.zones.shares import fair_shares
 from dunehold.settings import Settings
 from dunehold.types import EPSILON, NO_ROOM, AttemptId, JobId, Room, Team
 
 
+def entitled(
+    settings: Settings,
+    ledger: Ledger,
+    jobs: dict[JobId, JobProgress],
+    room: float | None,
+) -> dict[Team, Room]:
+    """What each team is entitled to now: its guarantee, or its share of too little room.
+
+    ``room`` is the CPUs that there are while a zone is lost, None while none is. Where the
+    guarantees that are asked for exceed it, it is divided by guarantee (weighted max-min): no
+    team takes what another is as much entitled to.
+    """
+    found = {team.name: team.guarantee for team in settings.teams.values()}
+    if room is None:
+        return found
+    wants = {team: ledger.team_use(team).cpus for team, promise in found.items()}
+    for progress in jobs.values():
+        spec = progress.spec
+        if spec.team in wants:
+            wants[spec.team] += len(progress.waiting) * spec.need.cpus
+    wants = {team: min(want, found[team].cpus) for team, want in wants.items()}
+    if sum(wants.values()) <= room:
+        return found
+    shares = fair_shares(room, wants, {team: g.cpus for team, g in found.items()})
+    return {team: found[team]._replace(cpus=shares[team]) for team in found}
+
+
 def within(
-    settings: Settings, ledger: Ledger, health: Health, jobs: dict[JobId, JobProgress]
+    settings: Settings,
+    ledger: Ledger,
+    health: Health,
+    jobs: dict[JobId, JobProgress],
+    room: float | None = None,
 ) -> set[JobId]:
     """Jobs that fit their team's guarantee together with its earlier unfinished jobs."""
     found: set[JobId] = set()
     if not any(t.guarantee.cpus or t.guarantee.gpus for t in settings.teams.values()):
         return found
+    promised = entitled(settings, ledger, jobs, room)
     sums: dict[Team, Room] = {}
     active = ledger.view.active
     records = [active[job] for job in jobs if job in active]
@@ -32,13 +65,17 @@
         need = spec.need
         total = sums.get(spec.team, NO_ROOM).plus(Room(need.cpus * left, need.gpus * left, 0.0))
         sums[spec.team] = total
-        if team.guarantee.holds(total):
+        if promised[spec.team].holds(total):
             found.add(spec.id)
     return found
 
 
 def borrowed(settings: Settings, ledger: Ledger) -> set[AttemptId]:
-    """Runs beyond their team's guarantee, the latest started first to go."""
+    """Runs beyond their team's guarantee, the latest started first to go.
+
+    Beyond the whole of it, whatever room there is: what lies within a guarantee is never
+    stopped for another team of the same rank. Shares decide who starts, not who is stopped.
+    """
     over = {
         team.name: team.guarantee
         for team in settings.teams.values()
--- a/dunehold/coordination/picture/picture.py
+++ b/dunehold/coordination/picture/picture.py
@@ -17,12 +17,15 @@
 from dunehold.coordination.picture.offers import Demand, FleetHost, Offer
 from dunehold.coordination.picture.progress import JobProgress, unfinished
 from dunehold.coordination.scheduler.model import Entry, HostState, RunState, Snapshot
+from dunehold.coordination.zones.evacuation import urgency
+from dunehold.coordination.zones.watch import ZoneWatch
 from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.users import JobSpec
 from dunehold.settings import Settings
 from dunehold.types import (
     EPSILON,
     MANY,
+    Duration,
     HostId,
     Image,
     JobId,
@@ -34,8 +37,10 @@
     Team,
     TypeName,
     WallTime,
+    Zone,
 )
 
+DEFAULT_SERVICE_S = 10.0  # for a replica to start, where the settings state no aim
 TASKS_A_PLAN = 200
 SUSPECT_PENALTY_S = 30.0
 SUSPECT_S = 60.0
@@ -45,6 +50,11 @@
 ORDER_S = 0.5  # the log of starts, and the way to the worker
 
 
+def silent_after_s(settings: Settings) -> float:
+    """Two reports late, and the time that a worker waits before it tries another node."""
+    return 2.5 * settings.report_s + 1.0
+
+
 @dataclass(slots=True)
 class _Pictured:
     """A machine as plans see it, good for its version of the books and until a moment."""
@@ -62,6 +72,7 @@
     estimates: Estimates
     types: dict[TypeName, MachineType]
     health: Health
+    zones: ZoneWatch
     wanted: dict[frozenset[TypeName], float] = field(default_factory=dict)
     weighed_at: MonotonicTime = MonotonicTime(0.0)
     peaks: deque[tuple[float, float]] = field(default_factory=deque)  # (when, cpus wanted)
@@ -84,6 +95,10 @@
         aims = self.settings.objectives
         limits = sorted(limit for a in aims if (limit := finish_limit(a, spec)) is not None)
         waits = [a.within_s for a in aims if a.kind == "wait" and a.job_class == spec.job_class]
+        if spec.kind is Kind.SERVICE and not waits:
+            # No aim speaks of it: as soon as whatever the users want started soonest.
+            waits = [a.within_s for a in aims if a.kind in ("wait", "guarantee")]
+            waits.append(Duration(DEFAULT_SERVICE_S))
         return JobProgress(
             spec, unfinished(record, self.ledger), limits, min(waits, default=MANY)
         )
@@ -97,7 +112,9 @@
         wall: WallTime,
     ) -> Snapshot:
         if self.guaranteed is None:
-            self.guaranteed = guarantees.within(self.settings, self.ledger, self.health, jobs)
+            self.guaranteed = guarantees.within(
+                self.settings, self.ledger, self.health, jobs, self._room_left()
+            )
         entries = []
         for job, progress in jobs.items():
             if not progress.waiting or self._held(job, progress, now):
@@ -113,7 +130,7 @@
         team_room = {}
         for team in self.settings.teams.values():
             if team.limit_cpus is not None or team.limit_gpus is not None:
-                use = self.ledger.team_use(team.name)
+                use = self.ledger.most_use(team.name)
                 limit = Room(team.limit_cpus or math.inf, team.limit_gpus or math.inf, math.inf)
                 team_room[team.name] = limit.minus(use)
         return Snapshot(
@@ -167,6 +184,21 @@
             self._states = {h: s for h, s in self._states.items() if h in self.ledger.hosts}
         return hosts
 
+    def _room_left(self) -> float | None:
+        """CPUs of machines that are counted on while a zone is lost, those booting included;
+        None while none is: guarantees hold in full then."""
+        if not self.zones.any_lost:
+            return None
+        return sum(
+            host.room.cpus
+            for host in self.ledger.hosts.values()
+            if host.draining is None and not host.deleting and not self.zones.lost(host.zone)
+        )
+
+    def look_again(self, zone: Zone) -> None:
+        """The zone's condition has changed, and with it what a start there costs."""
+        self._states = {h: s for h, s in self._states.items() if s.host.zone != zone}
+
     def _entry(
         self,
         record: JobRecord,
@@ -198,6 +230,9 @@
             allowed=allowed,
             service=spec.kind is Kind.SERVICE,
             gang=gang,
+            urgency=urgency(
+                spec.kind is Kind.SERVICE, spec.tasks, len(self.ledger.by_job.get(spec.id, ()))
+            ),
             guaranteed=guaranteed,
             broken=broken,
             avoided=self.health.avoided(spec.id),
@@ -216,6 +251,8 @@
     def _order(
         self, progress: JobProgress, waited: float, run_s: float, at: float
     ) -> tuple[float, ...]:
+        if progress.spec.kind is Kind.SERVICE:
+            return (0.0, progress.start_limit, at)
         rounds = self.put_off.get(progress.spec.id, 0)
         return (
             float(rounds),
@@ -278,6 +315,9 @@
         A start counts from when the image is there, so the time to fetch it is no time to
         wait for better room.
         """
+        if progress.spec.kind is Kind.SERVICE:
+            # A replica that is not up is as late as any, however old its job is.
+            return max(0.0, progress.start_limit - self._start_s(progress.spec))
         slacks = []
         starts = [progress.start_limit, self.guarantee_s if guaranteed else MANY]
         for limit in starts:
@@ -296,8 +336,7 @@
 
     @property
     def silent_s(self) -> float:
-        """Two reports late, and the time that a worker waits before it tries another node."""
-        return 2.5 * self.settings.report_s + 1.0
+        return silent_after_s(self.settings)
 
     @property
     def guarantee_s(self) -> float:
@@ -311,7 +350,7 @@
         if not host.known or not host.recorded:
             ready = max(now + 1.0, host.created_at + kind.boot_s)
             until = now  # it may be up any moment: look again
-        penalty = 0.0
+        penalty = self.zones.penalty_s(host.zone)
         if host.error_at is not None and now - host.error_at < SUSPECT_S:
             penalty += SUSPECT_PENALTY_S
             until = min(until, host.error_at + SUSPECT_S)
@@ -437,7 +476,7 @@
             if team is not None and team.limit_cpus is not None and spec.need.cpus > 0:
                 # A team at its limit needs no more machines.
                 left = room.setdefault(
-                    spec.team, team.limit_cpus - self.ledger.team_use(spec.team).cpus
+                    spec.team, team.limit_cpus - self.ledger.most_use(spec.team).cpus
                 )
                 tasks = min(tasks, int((left + EPSILON) / spec.need.cpus))
                 room[spec.team] = left - tasks * spec.need.cpus
--- a/dunehold/coordination/scheduler/floor.py
+++ b/dunehold/coordination/scheduler/floor.py
@@ -177,7 +177,7 @@
         hold = self.reserved[host.id]
         if hold.job == entry.job:
             return True
-        if self.now + entry.run_s + fetch_s(entry, host) <= hold.shadow_at:
+        if self.now + entry.lasts_s + fetch_s(entry, host) <= hold.shadow_at:
             return True
         return self._extra(host, hold).holds(entry.need)
 
@@ -194,7 +194,7 @@
         task = TaskId(entry.job, entry.waiting.pop(0))
         self.plan.starts.append(Start(task, host.id, tier))
         host = self._mine(host)
-        ends_at = self.now + entry.run_s + fetch_s(entry, host)
+        ends_at = self.now + entry.lasts_s + fetch_s(entry, host)
         attempt = AttemptId(task, PLANNED)
         host.add(
             RunState(attempt, entry.need, ends_at, self.now, tier, entry.rank, entry.team),
@@ -247,4 +247,5 @@
 
 
 def list_order(entry: Entry) -> tuple[float, ...]:
-    return (-float(entry.rank), 0.0 if entry.guaranteed else 1.0, *entry.order)
+    guaranteed = 0.0 if entry.guaranteed else 1.0
+    return (-float(entry.rank), float(entry.urgency), guaranteed, *entry.order)
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -126,7 +126,7 @@
 
     def _hold_room(self, entry: Entry) -> None:
         """Reserve for the head, and clear room for it where the rules of preemption allow."""
-        head = len(self.reserved) < self.policy.reservations and not entry.service
+        head = len(self.reserved) < self.policy.reservations
         late, below = self._late(entry)
         if not head and not late:
             return
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -108,6 +109,7 @@
     allowed: Callable[[HostState], bool]
     service: bool = False
     gang: bool = False  # all waiting tasks start together or none does
+    urgency: int = 0  # within its rank; lower goes first
     guaranteed: bool = False
     broken: bool = False  # failed on every machine so far: tried, but no room is held for it
     avoided: frozenset[HostId] = frozenset()  # a task of it failed there
@@ -117,6 +119,11 @@
     zones: dict[Zone, int] = field(default_factory=dict)
     team_slots: int = 1_000_000  # how many more its team's limit allows
 
+    @property
+    def lasts_s(self) -> float:
+        """How long a task of it keeps its room: a service's until somebody ends it."""
+        return math.inf if self.service else self.run_s
+
 
 @dataclass(slots=True)
 class Reservation:
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -16,12 +16,13 @@
 from dunehold.coordination.fleet.fleet import Fleet
 from dunehold.coordination.picture.estimates import Estimates
 from dunehold.coordination.picture.health import Health
-from dunehold.coordination.picture.picture import Picture
+from dunehold.coordination.picture.picture import Picture, silent_after_s
 from dunehold.coordination.picture.progress import JobProgress
 from dunehold.coordination.scheduler.measy import plan
 from dunehold.coordination.scheduler.model import Plan, Policy, Reservation
 from dunehold.coordination.term.delivery import Delivery
 from dunehold.coordination.term.judge import Judge
+from dunehold.coordination.zones.watch import ZoneWatch
 from dunehold.protocol import workers
 from dunehold.protocol.cloud import CloudClient, MachineType
 from dunehold.protocol.workers import Command, Report
@@ -34,6 +35,7 @@
     JobId,
     JobPhase,
     MonotonicTime,
+    NodeId,
     TaskId,
     Tier,
     Token,
@@ -76,6 +78,7 @@
     estimates: Estimates
     connect: Connect
     wall: Callable[[], float]
+    reaches: Callable[[NodeId], Awaitable[bool]]
     patience: float = 1.0  # times the usual, after terms in which no worker was heard
     progress: dict[JobId, JobProgress] = field(default_factory=dict)
     held: list[Reservation] = field(default_factory=list)
@@ -84,6 +87,7 @@
     delivery: Delivery = field(init=False)
     fleet: Fleet = field(init=False)
     judge: Judge = field(init=False)
+    zones: ZoneWatch = field(init=False)
     _dirty: bool = True
     _planned_at: MonotonicTime = MonotonicTime(-1e9)
     _plan_gap_s: float = 0.0
@@ -100,8 +104,16 @@
 
     def __post_init__(self) -> None:
         self.health = Health(self.settings.operator.sick_after_errors)
+        self.zones = ZoneWatch(
+            self.settings,
+            self.ledger,
+            self.types,
+            self.reaches,
+            silent_after_s(self.settings),
+            self.recorder.zones,
+        )
         self.picture = Picture(
-            self.settings, self.ledger, self.estimates, self.types, self.health
+            self.settings, self.ledger, self.estimates, self.types, self.health, self.zones
         )
         self.judge = Judge(
             self.ledger, self.recorder, self.health, self.picture, self._note_change
@@ -130,6 +142,7 @@
             self._lost,
             self._host_removed,
             self.make_dirty,
+            self.zones,
         )
 
     # -- life --------------------------------------------------------------------------
@@ -140,9 +153,11 @@
             self._heard_at = MonotonicTime(now + FINDING_S * self.patience)
         for job in list(self.view.active):
             self._take_up(job)
+        self.zones.restore(self.view.zones, now)
         self.health.known_broken(self.view.broken & self.view.active.keys(), now)
         self.spawn(self.recorder.run())
         self.spawn(self._tick())
+        self.spawn(self.zones.ask())
         self.fleet.start()
         self.spawn(self.delivery.probe_all())
 
@@ -481,6 +496,9 @@
                     return
                 now = self.now()
             self.ledger.note_relays(now)
+            if self.may_start():  # else it may be this node that is cut off
+                for zone in self.zones.step(now, self.attentive_since):
+                    self.picture.look_again(zone)
             self._lost(self.ledger.expire(min(now, self.proved_at())))
             self._check_known()
             self.fleet.look_after(now, self.attentive_since)
--- /dev/null
+++ b/dunehold/coordination/users/served.py
@@ -0,0 +1,132 @@
+"""What is served: for each class and team, what was asked for and what of it is done.
+
+Any node can tell, from its view alone: an ended job's description is not kept, so it is noted
+while the job is known. What ended before this node was up is not counted; ``since_s`` says how
+long it has counted. Work is in CPU-seconds by the owners' estimates, which are what can be
+known of work that has not run.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from dunehold.bookkeeping.records import JobRecord
+from dunehold.bookkeeping.view import View
+from dunehold.coordination.picture.aims import finish_limit
+from dunehold.protocol.users import JobSpec
+from dunehold.settings import Settings
+from dunehold.types import JobId, JobPhase, Kind
+
+
+@dataclass(slots=True)
+class Tally:
+    """Of a class or a team. Jobs that their users cancelled are asked for by nobody."""
+
+    jobs: int = 0
+    done: int = 0
+    cancelled: int = 0
+    in_time: int = 0  # done within the first of their aims, where they have any
+    timed: int = 0  # done, and had one
+    cpu_s: float = 0.0
+    served_cpu_s: float = 0.0
+
+    @property
+    def share(self) -> float:
+        """Of the work asked for, what is done; 1.0 where nothing was asked for."""
+        return self.served_cpu_s / self.cpu_s if self.cpu_s > 0 else 1.0
+
+
+@dataclass(slots=True)
+class Served:
+    settings: Settings
+    view: View
+    wall: Callable[[], float]
+    classes: dict[str, Tally] = field(default_factory=dict)
+    teams: dict[str, Tally] = field(default_factory=dict)
+    began_at: float = field(init=False)
+    _open: dict[JobId, JobSpec] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.began_at = self.wall()
+
+    def note(self, touched: Iterable[JobId]) -> None:
+        """Jobs that have changed in the view."""
+        for job in touched:
+            record = self.view.jobs.get(job)
+            if record is None:
+                continue
+            if record.phase is JobPhase.ACTIVE:
+                if record.spec is not None and job not in self._open:
+                    self._open[job] = record.spec
+            elif (spec := self._open.pop(job, None)) is not None:
+                for tally in self._tallies(spec, self.classes, self.teams):
+                    self._ended(tally, spec, record)
+
+    @staticmethod
+    def _tallies(
+        spec: JobSpec, classes: dict[str, Tally], teams: dict[str, Tally]
+    ) -> tuple[Tally, Tally]:
+        return (
+            classes.setdefault(spec.job_class, Tally()),
+            teams.setdefault(spec.team, Tally()),
+        )
+
+    def _ended(self, tally: Tally, spec: JobSpec, record: JobRecord) -> None:
+        if record.phase is JobPhase.CANCELLED:
+            tally.cancelled += 1
+            return
+        tally.jobs += 1
+        tally.done += 1
+        tally.cpu_s += _work(spec)
+        tally.served_cpu_s += _work(spec)
+        limits = [finish_limit(aim, spec) for aim in self.settings.objectives]
+        known = [limit for limit in limits if limit is not None]
+        if known:
+            tally.timed += 1
+            tally.in_time += self.wall() - record.accepted_at <= min(known)
+
+    def picture(self) -> dict[str, Any]:
+        """As operators are answered: by class and team, jobs under way included."""
+        classes = {name: _copy(tally) for name, tally in self.classes.items()}
+        teams = {name: _copy(tally) for name, tally in self.teams.items()}
+        for job, spec in self._open.items():
+            record = self.view.active.get(job)
+            if record is None or spec.kind is Kind.SERVICE:
+                continue  # a service is never done: it is up, or it is not
+            part = record.done_count() / max(1, record.tasks)
+            for tally in self._tallies(spec, classes, teams):
+                tally.jobs += 1
+                tally.cpu_s += _work(spec)
+                tally.served_cpu_s += part * _work(spec)
+        return {
+            "since_s": round(self.wall() - self.began_at, 1),
+            "classes": {name: _row(tally) for name, tally in sorted(classes.items())},
+            "teams": {name: _row(tally) for name, tally in sorted(teams.items())},
+            "zones": {zone: record.condition for zone, record in self.view.zones.items()},
+        }
+
+    def line(self) -> str:
+        """For the log: each class's and team's share of the work asked for."""
+        found = self.picture()
+        parts = [
+            f"{name} {row['done']}/{row['jobs']} jobs, {row['share']:.2f} of the work"
+            for group in ("classes", "teams")
+            for name, row in found[group].items()
+        ]
+        return "; ".join(parts)
+
+
+def _work(spec: JobSpec) -> float:
+    return spec.tasks * spec.need.cpus * spec.estimate_s
+
+
+def _copy(tally: Tally) -> Tally:
+    return Tally(**asdict(tally))
+
+
+def _row(tally: Tally) -> dict[str, Any]:
+    row = asdict(tally)
+    row |= {"cpu_s": round(tally.cpu_s, 1), "served_cpu_s": round(tally.served_cpu_s, 1)}
+    return row | {"share": round(tally.share, 4)}
--- /dev/null
+++ b/dunehold/coordination/zones/health.py
@@ -0,0 +1,139 @@
+"""Whether a zone is well, judged from which of its machines and controllers are heard.
+
+A pure state machine: evidence and the time go in, the condition comes out.
+
+    well -> doubtful -> lost -> returning -> well
+              |                    |
+              +-> well             +-> lost, one flap more
+
+- *Doubtful*: most machines of every kind there are silent, while other zones are heard. One
+  dead machine type or a wave of spot machines taken back leaves other kinds that are heard.
+- *Lost*: that has lasted ``confirm_s``, and a second witness agrees: another kind of machine,
+  or controllers there that don't answer either. Who hears nobody at all judges nothing, for
+  it may be the side that is cut off.
+- *Returning*: a machine is heard again, or, where no machine is left, a controller. It is
+  trusted after ``trust_s``, which doubles with every flap.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from dunehold.types import MonotonicTime
+
+SILENT_SHARE = 0.6  # of a kind's machines: so many silent at once, and the kind is
+TRUSTED_SHARE = 0.5  # of the machines there are heard: it is back
+MOST_TRUST_S = 120.0
+FORGIVEN_S = 600.0  # without a flap, and the ones before count no more
+MOST_FLAPS = 8
+
+
+class Condition(StrEnum):
+    WELL = "well"
+    DOUBTFUL = "doubtful"
+    LOST = "lost"
+    RETURNING = "returning"
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """Machines of one type, spot or not, that were up in a zone: all, and those heard."""
+
+    machines: int
+    heard: int
+
+    @property
+    def silent(self) -> bool:
+        return self.machines - self.heard >= SILENT_SHARE * self.machines
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What was heard of one zone lately. ``reached`` is None if nobody was asked."""
+
+    kinds: tuple[Kind, ...]
+    others_heard: bool  # machines of other zones are heard as usual
+    controllers: int = 0
+    reached: int | None = None
+
+    @property
+    def machines(self) -> int:
+        return sum(kind.machines for kind in self.kinds)
+
+    @property
+    def heard(self) -> int:
+        return sum(kind.heard for kind in self.kinds)
+
+    @property
+    def silent(self) -> bool:
+        return bool(self.kinds) and all(kind.silent for kind in self.kinds)
+
+    @property
+    def witnessed(self) -> bool:
+        """Does anything but one kind of machine say so? Without controllers there, or with
+        all of them silent, nothing speaks against it."""
+        if len(self.kinds) > 1 or not self.controllers:
+            return True
+        return self.reached == 0
+
+
+@dataclass(slots=True)
+class ZoneHealth:
+    """The condition of one zone. Times are of the steady clock of whoever judges."""
+
+    confirm_s: float
+    trust_s: float
+    condition: Condition = Condition.WELL
+    since: MonotonicTime = MonotonicTime(-1e9)
+    flaps: int = 0
+    size: int = 0  # machines that were up when it was last well
+    _flapped_at: MonotonicTime = field(default=MonotonicTime(-1e9))
+
+    @property
+    def patience_s(self) -> float:
+        """How long it must be heard before it is trusted."""
+        return float(min(MOST_TRUST_S, self.trust_s * 2**self.flaps))
+
+    def restore(self, condition: Condition, flaps: int, size: int, now: MonotonicTime) -> None:
+        """As a leader before left it; its moments are of another clock."""
+        self.condition, self.flaps, self.size = condition, min(flaps, MOST_FLAPS), size
+        self.since = self._flapped_at = now
+
+    def step(self, seen: Evidence, now: MonotonicTime) -> bool:
+        """Take the evidence in; true if the condition changed."""
+        if self.flaps and now - self._flapped_at > FORGIVEN_S:
+            self.flaps = 0
+        after = self._after(seen, now)
+        if self.condition is Condition.WELL and after is Condition.WELL:
+            self.size = seen.machines
+        if after is self.condition:
+            return False
+        if after is Condition.LOST and self.condition is Condition.RETURNING:
+            self.flaps = min(self.flaps + 1, MOST_FLAPS)
+            self._flapped_at = now
+        self.condition, self.since = after, now
+        return True
+
+    def _after(self, seen: Evidence, now: MonotonicTime) -> Condition:
+        silent = seen.silent and seen.others_heard
+        lasted = now - self.since
+        if self.condition is Condition.WELL:
+            return Condition.DOUBTFUL if silent else Condition.WELL
+        if self.condition is Condition.DOUBTFUL:
+            if not seen.silent:
+                return Condition.WELL
+            if not seen.others_heard:
+                self.since = now  # nobody is heard: this says nothing of the zone
+                return Condition.DOUBTFUL
+            sure = lasted >= self.confirm_s and seen.witnessed
+            return Condition.LOST if sure else Condition.DOUBTFUL
+        if self.condition is Condition.LOST:
+            answered = not seen.machines and bool(seen.reached)
+            return Condition.RETURNING if seen.heard or answered else Condition.LOST
+        if silent or (not seen.machines and seen.reached == 0):
+            return Condition.LOST
+        trusted = seen.heard > 0 and seen.heard >= TRUSTED_SHARE * seen.machines
+        if lasted >= self.patience_s and trusted:
+            return Condition.WELL
+        return Condition.RETURNING
--- /dev/null
+++ b/dunehold/coordination/zones/watch.py
@@ -0,0 +1,247 @@
+"""The leader's watch over its zones: evidence, durable conditions, bounds on rentals.
+
+Nothing here allows a start or takes a task for gone: that is the ledger's. A wrong judgement
+costs rented machines or time, and no rule.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+
+from dunehold.bookkeeping.hosts import NEVER_HEARD, Host
+from dunehold.bookkeeping.ledger import Ledger
+from dunehold.bookkeeping.records import ZoneRecord
+from dunehold.coordination.zones.health import Condition, Evidence, Kind, ZoneHealth
+from dunehold.protocol.cloud import MachineType
+from dunehold.settings import Settings
+from dunehold.types import MANY, HostId, MonotonicTime, NodeId, TypeName, Zone
+
+log = logging.getLogger(__name__)
+
+ASK_S = 2.0  # between questions to the controllers of a zone that is not well
+CONFIRM_REPORTS = 1.0  # how many report intervals doubt must last
+TRUST_REPORTS = 2.0
+WATCHERS = 2  # silent machines that are kept, to hear of the return
+FIRST_PROBE_S, MOST_PROBE_S = 30.0, 300.0  # between probes, where no machine is left to hear
+STEP_SHARE, LEAST_STEP = 0.1, 4  # of its former size, rented before a zone is trusted
+FLAP_PENALTY_S, MOST_PENALTY_S = 15.0, 60.0  # of machines in a zone that flaps
+
+
+@dataclass(slots=True)
+class _Probe:
+    gap_s: float = FIRST_PROBE_S
+    next_at: MonotonicTime = MonotonicTime(-1e9)
+
+
+@dataclass(slots=True)
+class ZoneWatch:
+    settings: Settings
+    ledger: Ledger
+    types: dict[TypeName, MachineType]
+    reaches: Callable[[NodeId], Awaitable[bool]]
+    silent_s: float  # so long without a report, and a machine is silent
+    on_record: Callable[[dict[Zone, ZoneRecord]], None]
+    zones: dict[Zone, ZoneHealth] = field(default_factory=dict)
+    watchers: set[HostId] = field(default_factory=set)
+    _reached: dict[Zone, int] = field(default_factory=dict)
+    _probes: dict[Zone, _Probe] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        report_s = self.settings.report_s
+        for zone in self.settings.zones:
+            self.zones[zone] = ZoneHealth(CONFIRM_REPORTS * report_s, TRUST_REPORTS * report_s)
+
+    def restore(self, found: dict[Zone, ZoneRecord], now: MonotonicTime) -> None:
+        """Begin with what the leader before knew: it is not learnt by a wave of rentals."""
+        for zone, record in found.items():
+            if zone in self.zones:
+                condition = Condition(record.condition)
+                self.zones[zone].restore(condition, record.flaps, record.size, now)
+                log.info("zone %s is %s by record", zone, condition.value)
+
+    # -- judging -------------------------------------------------------------------------
+
+    def step(self, now: MonotonicTime, attentive_since: MonotonicTime) -> set[Zone]:
+        """Judge every zone anew; those whose condition changed."""
+        seen = self._evidence(now, attentive_since)
+        heard = {zone for zone, one in seen.items() if 0 < one.machines <= 2 * one.heard}
+        changed = set()
+        for zone, health in self.zones.items():
+            judged = replace(seen[zone], others_heard=bool(heard - {zone}))
+            before = health.condition
+            if health.step(judged, now):
+                changed.add(zone)
+                log.info(
+                    "zone %s is %s, was %s: %d of %d machines heard, %s of %d controllers",
+                    zone,
+                    health.condition.value,
+                    before.value,
+                    judged.heard,
+                    judged.machines,
+                    "?" if judged.reached is None else judged.reached,
+                    judged.controllers,
+                )
+                if health.condition is not Condition.LOST:
+                    self._probes.pop(zone, None)
+        if changed:
+            self.on_record(self.records())
+        self._choose_watchers()
+        return changed
+
+    def _evidence(
+        self, now: MonotonicTime, attentive_since: MonotonicTime
+    ) -> dict[Zone, Evidence]:
+        counts: dict[Zone, dict[tuple[TypeName, bool], list[int]]] = {}
+        for host in self.ledger.hosts.values():
+            if host.deleting or host.notice_at is not None or host.zone not in self.zones:
+                continue
+            heard = now - host.spoke_at <= self.silent_s
+            if not heard and not self._should_be_heard(host, now, attentive_since):
+                continue
+            count = counts.setdefault(host.zone, {}).setdefault((host.type, host.spot), [0, 0])
+            count[0] += 1
+            count[1] += heard
+        peers: dict[Zone, int] = {}
+        for peer in self.settings.peers:
+            peers[peer.zone] = peers.get(peer.zone, 0) + 1
+        return {
+            zone: Evidence(
+                tuple(Kind(*count) for count in counts.get(zone, {}).values()),
+                False,
+                peers.get(zone, 0),
+                self._reached.get(zone),
+            )
+            for zone in self.zones
+        }
+
+    def _should_be_heard(
+        self, host: Host, now: MonotonicTime, attentive_since: MonotonicTime
+    ) -> bool:
+        """Silent, and long enough to say something of its zone."""
+        if now - attentive_since <= self.silent_s:
+            return False  # this node itself heard nobody
+        if host.spoke_at > NEVER_HEARD:
+            return True
+        if host.created_at == self.ledger.took_over_at:
+            return now - host.created_at > 2 * self.silent_s  # on record, but never heard
+        # Rented into a zone that is not well: what does not come up speaks against it.
+        if self.zones[host.zone].condition is Condition.WELL:
+            return False
+        kind = self.types.get(host.type)
+        return kind is not None and now - host.created_at > 2 * kind.boot_s
+
+    async def ask(self) -> None:
+        """Do the controllers of zones that are not well answer? Nobody is asked otherwise."""
+        while True:
+            await asyncio.sleep(ASK_S)
+            for zone, health in self.zones.items():
+                if health.condition is Condition.WELL:
+                    self._reached.pop(zone, None)
+                    continue
+                names = [peer.name for peer in self.settings.peers if peer.zone == zone]
+                answers = await asyncio.gather(*(self.reaches(name) for name in names))
+                self._reached[zone] = sum(answers)
+
+    def records(self) -> dict[Zone, ZoneRecord]:
+        """What a next leader should begin with: nothing of zones that are and were well."""
+        return {
+            zone: ZoneRecord(health.condition.value, health.flaps, health.size)
+            for zone, health in self.zones.items()
+            if health.condition in (Condition.LOST, Condition.RETURNING) or health.flaps
+        }
+
+    # -- what follows from it --------------------------------------------------------------
+
+    def condition(self, zone: Zone) -> Condition:
+        health = self.zones.get(zone)
+        return health.condition if health is not None else Condition.WELL
+
+    def lost(self, zone: Zone) -> bool:
+        return self.condition(zone) is Condition.LOST
+
+    @property
+    def any_lost(self) -> bool:
+        return any(health.condition is Condition.LOST for health in self.zones.values())
+
+    def fed(self, zone: Zone, now: MonotonicTime) -> bool:
+        """A node there feeds its workers, which go on with what they have."""
+        return now < self.ledger.relayed.get(zone, MonotonicTime(-1e9))
+
+    def written_off(self, host: Host) -> bool:
+        """Not counted on when machines are rented: it is silent in a lost zone."""
+        return not host.known and self.lost(host.zone)
+
+    def penalty_s(self, zone: Zone) -> float:
+        """What a start there costs in the order of machines: work may be lost once more."""
+        health = self.zones.get(zone)
+        if health is None or health.condition is Condition.WELL:
+            return 0.0
+        return min(MOST_PENALTY_S, FLAP_PENALTY_S * health.flaps)
+
+    def may_rent(self, zone: Zone) -> int:
+        """How many machines may be rented there now, probes aside."""
+        health = self.zones.get(zone)
+        if health is None or health.condition is Condition.WELL:
+            return MANY
+        if health.condition is not Condition.RETURNING:
+            return 0
+        step = max(LEAST_STEP, int(STEP_SHARE * health.size))
+        coming = sum(
+            host.zone == zone and not host.up and host.fed_at is None and not host.deleting
+            for host in self.ledger.hosts.values()
+        )
+        return max(0, step - coming)
+
+    def probes(self, now: MonotonicTime) -> list[Zone]:
+        """Lost zones in which a machine is to be rented, ever more seldom, to hear of the
+        return: those where none is left that could tell of it."""
+        due = []
+        for zone, health in self.zones.items():
+            if health.condition is not Condition.LOST:
+                continue
+            if any(h.zone == zone and not h.deleting for h in self.ledger.hosts.values()):
+                continue
+            probe = self._probes.setdefault(zone, _Probe())
+            if now >= probe.next_at:
+                probe.next_at = MonotonicTime(now + probe.gap_s)
+                probe.gap_s = min(MOST_PROBE_S, 2 * probe.gap_s)
+                due.append(zone)
+        return due
+
+    def _choose_watchers(self) -> None:
+        """In every lost zone a few machines stay, though they are silent."""
+        hosts = self.ledger.hosts
+        self.watchers = {
+            name
+            for name in self.watchers
+            if name in hosts and not hosts[name].deleting and self.lost(hosts[name].zone)
+        }
+        for zone, health in self.zones.items():
+            if health.condition is not Condition.LOST:
+                continue
+            wanted = WATCHERS - sum(hosts[name].zone == zone for name in self.watchers)
+            if wanted <= 0:
+                continue
+            silent = [
+                host
+                for host in hosts.values()
+                if host.zone == zone
+                and not host.deleting
+                and host.notice_at is None
+                and host.id not in self.watchers
+            ]
+            silent.sort(key=self._as_watcher)
+            self.watchers |= {host.id for host in silent[:wanted]}
+
+    def _as_watcher(self, host: Host) -> tuple[bool, bool, float, HostId]:
+        """Ordinary machines that were up are not taken back, and can speak at once."""
+        return host.spoke_at <= NEVER_HEARD, host.spot, self._price(host), host.id
+
+    def _price(self, host: Host) -> float:
+        kind = self.types.get(host.type)
+        if kind is None:
+            return float(MANY)
+        return kind.spot_price if host.spot else kind.price
--- a/dunehold/protocol/peers.py
+++ b/dunehold/protocol/peers.py
@@ -14,6 +14,7 @@
 
 RUNNING_PATH = "/peer/running"
 PROOF_PATH = "/peer/proof"
+SERVED_PATH = "/peer/served"  # operators ask for it
 
 
 def encode_running(running: dict[JobId, int]) -> bytes:
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -141,7 +141,7 @@
     ledger = SimpleNamespace(hosts={"m1": silent}, gone=set())
     care = fleet(
         ledger=ledger, cloud=Cloud(), spawn=spawn, may_start=lambda: True,
-        settings=SimpleNamespace(list_lag_s=6.0),
+        settings=SimpleNamespace(list_lag_s=6.0), zones=SimpleNamespace(lost=lambda _: False),
     )  # fmt: skip
     care._take_list([], MonotonicTime(17.0))
     assert not deleted and not silent.deleting
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,6 +17,7 @@
     ("dunehold.bookkeeping",),
     ("dunehold.coordination.scheduler",),
     ("dunehold.coordination.durable",),
+    ("dunehold.coordination.zones",),
     ("dunehold.coordination.picture",),
     ("dunehold.coordination.fleet",),
     ("dunehold.coordination.term",),
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -174,3 +174,66 @@
     ledger.note_relays(MonotonicTime(20.0))
     assert ledger.expire(MonotonicTime(20.0 + LEASE)) == []
     assert ledger.expire(MonotonicTime(20.0 + LEASE * 1.01 + 3.5)) == [run]
+
+
+def taken_over(tasks: dict[HostId, set[TaskId]], *jobs: JobRecord) -> Ledger:
+    """A new leader's books: two machines on record, and what the log places on them."""
+    view = View()
+    for host in (HOST, OTHER):
+        view.hosts[host] = HostRecord(host, KIND, ZONE, False)
+    for job in jobs:
+        view.jobs[job.id] = job
+        if job.phase is JobPhase.ACTIVE:
+            view.active[job.id] = job
+    view.starts[0] = tasks
+    room = Room(96.0, 8.0, 768.0)
+    kind = MachineType(KIND, room, 200.0, 1.0, 12.0, 4.5, Duration(45.0), (ZONE,))
+    teams = {
+        Team(name): TeamSettings(Team(name), NO_ROOM, 40.0, None)
+        for name in ("vision", "sound")
+    }
+    return Ledger(
+        view, Token(7), MonotonicTime(0.0), teams, {KIND: kind}, LEASE, Duration(20.0)
+    )
+
+
+def job_of(name: str, team: str, phase: JobPhase = JobPhase.ACTIVE) -> JobRecord:
+    spec = decode_job_object(
+        JOB | {"uid": name, "owner": team, "flavours": ["g8"], "together": False}
+    )
+    return JobRecord(spec.id, phase, Revision(5), WallTime(0.0), spec, spec.tasks)
+
+
+def test_silence_counts_against_the_teams_whose_tasks_it_may_hide() -> None:
+    """One silent machine held up every limited team, for up to 36 s after a takeover."""
+    seen, sound = job_of("job-000412", "vision"), job_of("job-000413", "sound")
+    placed = {HOST: {TaskId(seen.id, n) for n in range(4)}}
+    ledger = taken_over(placed, seen, sound)
+    assert seen.spec is not None and sound.spec is not None
+    assert ledger.most_use(TEAM).cpus == 4 * seen.spec.need.cpus == 32.0
+    assert ledger.team_allows(seen.spec)  # 8 CPUs more are its limit
+    assert not ledger.team_allows(seen.spec, seen.spec.need)
+    assert ledger.team_allows(sound.spec, sound.spec.need.times(4))
+    ledger._settled(ledger.hosts[HOST])
+    assert ledger.most_use(TEAM) == NO_ROOM
+    assert sorted(ledger.take_released()) == sorted(placed[HOST])
+
+
+def test_a_task_that_two_machines_may_hold_counts_once_until_neither_does() -> None:
+    job = job_of("job-000412", "vision")
+    ledger = taken_over({HOST: {TASK}, OTHER: {TASK}}, job)
+    assert ledger.most_use(TEAM).cpus == 8.0
+    ledger._settled(ledger.hosts[HOST])
+    assert ledger.most_use(TEAM).cpus == 8.0 and ledger.may_run_unseen(TASK)
+    ledger._settled(ledger.hosts[OTHER])
+    assert ledger.most_use(TEAM) == NO_ROOM and ledger.take_released() == [TASK]
+
+
+def test_what_nothing_describes_counts_as_the_whole_machine_and_for_everybody() -> None:
+    ledger = taken_over({HOST: {TASK}})
+    for team in ("vision", "sound"):
+        assert ledger.most_use(Team(team)).cpus == 96.0
+    cancelled = taken_over({HOST: {TASK}}, job_of("job-000412", "vision", JobPhase.CANCELLED))
+    assert cancelled.most_use(TEAM).cpus == 8.0  # it may still be running
+    done = JobRecord(TASK.job, JobPhase.DONE, Revision(6), WallTime(0.0), None, 8)
+    assert taken_over({HOST: {TASK}}, done).most_use(TEAM) == NO_ROOM
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -442,7 +442,7 @@
     kind = MachineType(TypeName("t"), cpus(4.0), 10.0, 0.5, 1.0, 0.3, Duration(20.0), ())
     settings = SimpleNamespace(objectives=())
     nothing: Any = None
-    picture = Picture(settings, nothing, nothing, {kind.name: kind}, Health(2))  # type: ignore[arg-type]
+    picture = Picture(settings, nothing, nothing, {kind.name: kind}, Health(2), nothing)  # type: ignore[arg-type]
     spec = replace(decode_job_object(JOB), image_gb=1.5)
     progress = JobProgress(spec, set(), [100.0], start_limit=5.0)
     assert picture._patience(progress, 0.0, 20.0, False) == pytest.approx(1.5)
--- a/tests/world.py
+++ b/tests/world.py
@@ -171,13 +171,13 @@
         self.task: asyncio.Task[None] | None = None
         self.context = contextvars.Context()
         self.context.run(OWNER.set, self)
-        world.network.place(self.name, ZONES[index % 2])
+        world.network.place(self.name, ZONES[index % len(ZONES)])
 
     def boot(self) -> None:
         self.life += 1
         source = f"{self.name}#{self.life}"
         network = self.world.network
-        network.place(source, ZONES[self.index % 2])
+        network.place(source, ZONES[self.index % len(ZONES)])
 
         def connect(host: str, port: int, links: int) -> FakeClient:
             return FakeClient(network, source, host)
@@ -331,11 +331,12 @@
         peers = [i for i in range(len(self.nodes)) if i != index]
         return Settings(
             node=NodeId(f"n{index}"),
-            zone=Zone(ZONES[index % 2]),
+            zone=Zone(ZONES[index % len(ZONES)]),
             listen=Address(f"n{index}", 1),
             peer_listen=Address(f"n{index}", 2),
             peers=tuple(
-                Peer(NodeId(f"n{i}"), Zone(ZONES[i % 2]), Address(f"n{i}", 2)) for i in peers
+                Peer(NodeId(f"n{i}"), Zone(ZONES[i % len(ZONES)]), Address(f"n{i}", 2))
+                for i in peers
             ),
             cloud=Address("cloud", 1),
             state=Address("state", 1),
