Guaranteed work is not stopped for having begun last; machines are rented where tasks may run

Jobs within the guarantee are counted first now.

Also: ordinary machines are left to work that may use no others (scarcity by type and kind, not type alone); tasks bound by spread or zone ask for machines only where they may run, and for none in a zone that is lost; a zone is trusted after one report interval.

--- a/dunehold/coordination/picture/guarantees.py
+++ b/dunehold/coordination/picture/guarantees.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+
 from dunehold.bookkeeping.hosts import Run
 from dunehold.bookkeeping.ledger import Ledger
 from dunehold.coordination.picture.health import Health
@@ -70,9 +72,15 @@
     return found
 
 
-def borrowed(settings: Settings, ledger: Ledger) -> set[AttemptId]:
+def borrowed(
+    settings: Settings, ledger: Ledger, guaranteed: Container[JobId] = ()
+) -> set[AttemptId]:
     """Runs beyond their team's guarantee, the latest started first to go.
 
+    Jobs within the guarantee (``guaranteed``) are counted first, whenever their tasks began.
+    By the time alone, the latest of them were stopped for another team, and as such jobs go
+    first, they took the very room that was cleared, to be stopped once more.
+
     Beyond the whole of it, whatever room there is: what lies within a guarantee is never
     stopped for another team of the same rank. Shares decide who starts, not who is stopped.
     """
@@ -90,7 +98,7 @@
     for name, found in by_team.items():
         guarantee = over[name]
         total = NO_ROOM
-        for run in sorted(found, key=lambda r: r.planned_at):
+        for run in sorted(found, key=lambda r: (r.id.task.job not in guaranteed, r.planned_at)):
             total = total.plus(run.need)
             if total.cpus > guarantee.cpus + EPSILON or (total.gpus > guarantee.gpus + EPSILON):
                 beyond.add(run.id)
--- a/dunehold/coordination/picture/picture.py
+++ b/dunehold/coordination/picture/picture.py
@@ -14,9 +14,15 @@
 from dunehold.coordination.picture.aims import finish_limit, next_limit, put_off
 from dunehold.coordination.picture.estimates import Estimates
 from dunehold.coordination.picture.health import Health
-from dunehold.coordination.picture.offers import Demand, FleetHost, Offer
+from dunehold.coordination.picture.offers import Demand, FleetHost, Offer, demands_of
 from dunehold.coordination.picture.progress import JobProgress, unfinished
-from dunehold.coordination.scheduler.model import Entry, HostState, RunState, Snapshot
+from dunehold.coordination.scheduler.model import (
+    Entry,
+    HostState,
+    MachineKind,
+    RunState,
+    Snapshot,
+)
 from dunehold.coordination.zones.evacuation import urgency
 from dunehold.coordination.zones.watch import ZoneWatch
 from dunehold.protocol.cloud import MachineType
@@ -73,11 +79,11 @@
     types: dict[TypeName, MachineType]
     health: Health
     zones: ZoneWatch
-    wanted: dict[frozenset[TypeName], float] = field(default_factory=dict)
+    wanted: dict[frozenset[MachineKind], float] = field(default_factory=dict)
     weighed_at: MonotonicTime = MonotonicTime(0.0)
     peaks: deque[tuple[float, float]] = field(default_factory=deque)  # (when, cpus wanted)
 
-    scarcity: dict[TypeName, float] = field(default_factory=dict)
+    scarcity: dict[MachineKind, float] = field(default_factory=dict)
     burst: float = 0.0  # CPUs that one job of a higher rank asked for lately
     burst_at: MonotonicTime = MonotonicTime(0.0)
     guaranteed: set[JobId] | None = None  # None: to be counted anew
@@ -140,7 +146,9 @@
             now=now,
             scarcity=self.scarcity,
             reserve_cpus=self.reserve_cpus(now),
-            borrowed=lambda: guarantees.borrowed(self.settings, self.ledger),
+            borrowed=lambda: guarantees.borrowed(
+                self.settings, self.ledger, self.guaranteed or ()
+            ),
         )
 
     def note_arrival(self, spec: JobSpec, now: MonotonicTime) -> None:
@@ -412,23 +420,31 @@
         )
 
     def weigh(self, jobs: dict[JobId, JobProgress], now: MonotonicTime) -> None:
-        """Scarcity: how much of a type's room goes to work that fits no other type.
+        """Scarcity: how much of a kind's room goes to work that fits no other kind.
+
+        A kind is a type, spot or not: work that must not be lost with a spot machine has but
+        the ordinary ones, which all else would fill as well.
 
         Lately, not just now: such work comes again, and room that is filled with work that
         could run elsewhere is not there for it.
         """
-        room: dict[TypeName, float] = {}
+        room: dict[MachineKind, float] = {}
         for host in self.ledger.hosts.values():
             if host.draining is None and not host.deleting and host.type in self.types:
-                room[host.type] = room.get(host.type, 0.0) + host.room.cpus
-        wanted: dict[frozenset[TypeName], float] = {}
+                kind = host.type, host.spot
+                room[kind] = room.get(kind, 0.0) + host.room.cpus
+        wanted: dict[frozenset[MachineKind], float] = {}
         for job, progress in jobs.items():
             if self.health.broken(job):
                 continue
             spec = progress.spec
-            fits = frozenset(name for name in room if self.types[name].room.holds(spec.need))
-            if spec.types is not None:
-                fits &= frozenset(spec.types)
+            fits = frozenset(
+                (name, spot)
+                for name, spot in room
+                if self.types[name].room.holds(spec.need)
+                and (spec.types is None or name in spec.types)
+                and (spec.spot or not spot)
+            )
             if fits and len(fits) < len(room):
                 left = len(progress.waiting) + len(self.ledger.by_job.get(job, ()))
                 wanted[fits] = wanted.get(fits, 0.0) + left * spec.need.cpus
@@ -436,11 +452,11 @@
         self.weighed_at = now
         for fits in {*wanted, *self.wanted}:
             self.wanted[fits] = max(wanted.get(fits, 0.0), self.wanted.get(fits, 0.0) * fade)
-        load: dict[TypeName, float] = {}
+        load: dict[MachineKind, float] = {}
         for fits, cpus in self.wanted.items():
-            have = sum(room.get(name, 0.0) for name in fits)
-            for name in fits:
-                load[name] = max(load.get(name, 0.0), min(1.0, cpus / max(have, 1.0)))
+            have = sum(room.get(kind, 0.0) for kind in fits)
+            for kind in fits:
+                load[kind] = max(load.get(kind, 0.0), min(1.0, cpus / max(have, 1.0)))
         self.scarcity = load
 
     # -- for the autoscaler ------------------------------------------------------------
@@ -467,6 +483,7 @@
             and now >= progress.held_until
             and not self.health.broken(job)
         ]
+        usable = [zone for zone in self.settings.zones if self.zones.rentable(zone)]
         room: dict[Team, float] = {}
         for *_, job in sorted(waiting):
             progress = jobs[job]
@@ -481,9 +498,8 @@
                 tasks = min(tasks, int((left + EPSILON) / spec.need.cpus))
                 room[spec.team] = left - tasks * spec.need.cpus
             if tasks > 0:
-                found.append(
-                    Demand(spec.need, tasks, self.estimates.run_s(spec), _offers(spec))
-                )
+                run_s, placed = self.estimates.run_s(spec), self.ledger.job_zones(job)
+                found += demands_of(spec, tasks, run_s, placed, usable)
         return found
 
     def kept_cpus(self, demands: list[Demand], now: MonotonicTime) -> float:
@@ -497,10 +513,3 @@
             self.peaks.pop()
         self.peaks.append((now, wanted))
         return self.peaks[0][1] * (1.0 + self.settings.operator.headroom_share)
-
-
-def _offers(spec: JobSpec):  # type: ignore[no-untyped-def]
-    def allowed(offer: Offer) -> bool:
-        return host_allowed(spec, offer.type, offer.zone, offer.spot)
-
-    return allowed
--- a/dunehold/coordination/scheduler/floor.py
+++ b/dunehold/coordination/scheduler/floor.py
@@ -39,6 +39,7 @@
 PLANNED = Attempt(0)  # stands for attempts that this very plan starts
 
 GroupKey = tuple[TypeName, Zone, bool]
+Like = tuple[TypeName, float]  # a type, and how much other work needs its machines
 
 
 @dataclass(slots=True)
@@ -73,16 +74,16 @@
         self.own: set[HostId] = set()  # machines of which this plan has a copy of its own
         self.failed: dict[tuple[GroupKey, ...], list[Room]] = {}
         self.slots: dict[tuple[tuple[GroupKey, ...], Room], list[float]] = {}
-        self.slots_taken: dict[TypeName, int] = {}  # by tasks that wait for such room
-        self.promised: dict[TypeName, float] = {}  # the same in CPUs
-        self.own_promise: dict[TypeName, float] = {}  # to the entry that was placed last
+        self.slots_taken: dict[Like, int] = {}  # by tasks that wait for such room
+        self.promised: dict[Like, float] = {}  # the same in CPUs
+        self.own_promise: dict[Like, float] = {}  # to the entry that was placed last
         self._borrowed: set[AttemptId] | None = None
         self._lowest: Rank | None = None
         for host in snapshot.hosts:
             key = (host.type, host.zone, host.spot)
             group = self.groups.get(key)
             if group is None:
-                weight = snapshot.scarcity.get(host.type, 0.0)
+                weight = snapshot.scarcity.get((host.type, host.spot), 0.0)
                 group = self.groups[key] = Group(key, host, weight)
             group.hosts[host.id] = host
             if host.ready_at <= self.now:
@@ -126,11 +127,12 @@
             wait += AVOIDED_COST_S  # a further try there would say nothing new
         return (wait, host.free.cpus - entry.need.cpus, host.id, host)
 
-    def _types_for(self, entry: Entry) -> list[tuple[TypeName, list[Group]]]:
-        types: dict[TypeName, list[Group]] = {}
+    def _types_for(self, entry: Entry) -> list[tuple[Like, list[Group]]]:
+        """By type; spot machines apart from ordinary ones where some work needs those."""
+        types: dict[Like, list[Group]] = {}
         for group in self._groups_for(entry):
             if self._suits(entry, group.sample):
-                types.setdefault(group.key[0], []).append(group)
+                types.setdefault((group.key[0], group.scarcity), []).append(group)
         return list(types.items())
 
     def _slots(self, need: Room, groups: list[Group]) -> list[float]:
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -26,6 +26,8 @@
     Zone,
 )
 
+MachineKind = tuple[TypeName, bool]  # a type, spot or not
+
 
 @dataclass(frozen=True, slots=True)
 class RunState:
@@ -157,7 +159,7 @@
     team_room: dict[Team, Room] = field(default_factory=dict)  # left of limits; absent: any
     held: list[Reservation] = field(default_factory=list)  # of the plan before
     now: float = 0.0
-    scarcity: dict[TypeName, float] = field(default_factory=dict)  # other work depends on it
+    scarcity: dict[MachineKind, float] = field(default_factory=dict)  # other work needs it
     reserve_cpus: float = 0.0  # that work of the lowest rank leaves free
     borrowed: Callable[[], set[AttemptId]] = set  # runs beyond their teams' guarantees
 
--- a/dunehold/coordination/zones/watch.py
+++ b/dunehold/coordination/zones/watch.py
@@ -23,7 +23,7 @@
 
 ASK_S = 2.0  # between questions to the controllers of a zone that is not well
 CONFIRM_REPORTS = 1.0  # how many report intervals doubt must last
-TRUST_REPORTS = 2.0
+TRUST_REPORTS = 1.0
 WATCHERS = 2  # silent machines that are kept, to hear of the return
 FIRST_PROBE_S, MOST_PROBE_S = 30.0, 300.0  # between probes, where no machine is left to hear
 STEP_SHARE, LEAST_STEP = 0.1, 4  # of its former size, rented before a zone is trusted
@@ -66,7 +66,9 @@
 
     def step(self, now: MonotonicTime, attentive_since: MonotonicTime) -> set[Zone]:
         """Judge every zone anew; those whose condition changed."""
-        seen = self._evidence(now, attentive_since)
+        if now - attentive_since <= self.silent_s:
+            return set()  # this node itself heard nobody: it can't tell yet
+        seen = self._evidence(now)
         heard = {zone for zone, one in seen.items() if 0 < one.machines <= 2 * one.heard}
         changed = set()
         for zone, health in self.zones.items():
@@ -91,15 +93,13 @@
         self._choose_watchers()
         return changed
 
-    def _evidence(
-        self, now: MonotonicTime, attentive_since: MonotonicTime
-    ) -> dict[Zone, Evidence]:
+    def _evidence(self, now: MonotonicTime) -> dict[Zone, Evidence]:
         counts: dict[Zone, dict[tuple[TypeName, bool], list[int]]] = {}
         for host in self.ledger.hosts.values():
             if host.deleting or host.notice_at is not None or host.zone not in self.zones:
                 continue
             heard = now - host.spoke_at <= self.silent_s
-            if not heard and not self._should_be_heard(host, now, attentive_since):
+            if not heard and not self._should_be_heard(host, now):
                 continue
             count = counts.setdefault(host.zone, {}).setdefault((host.type, host.spot), [0, 0])
             count[0] += 1
@@ -117,16 +117,13 @@
             for zone in self.zones
         }
 
-    def _should_be_heard(
-        self, host: Host, now: MonotonicTime, attentive_since: MonotonicTime
-    ) -> bool:
+    def _should_be_heard(self, host: Host, now: MonotonicTime) -> bool:
         """Silent, and long enough to say something of its zone."""
-        if now - attentive_since <= self.silent_s:
-            return False  # this node itself heard nobody
         if host.spoke_at > NEVER_HEARD:
             return True
         if host.created_at == self.ledger.took_over_at:
-            return now - host.created_at > 2 * self.silent_s  # on record, but never heard
+            # On record, but never heard: not yet, or it is not to be heard.
+            return self.lost(host.zone) or now - host.created_at > 2 * self.silent_s
         # Rented into a zone that is not well: what does not come up speaks against it.
         if self.zones[host.zone].condition is Condition.WELL:
             return False
@@ -195,6 +192,10 @@
         )
         return max(0, step - coming)
 
+    def rentable(self, zone: Zone) -> bool:
+        """May machines be rented there at all, if only in steps?"""
+        return self.condition(zone) in (Condition.WELL, Condition.RETURNING)
+
     def probes(self, now: MonotonicTime) -> list[Zone]:
         """Lost zones in which a machine is to be rented, ever more seldom, to hear of the
         return: those where none is left that could tell of it."""
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -133,7 +133,7 @@
     """A whole backlog once waited for the few small machines while large ones stood idle."""
     hosts = [host("small", 4.0, run("r", 4, 5)), host("big", 16.0)]
     job = entry("job", 4, 9, 1, tasks=3, patience_s=100.0)
-    snapshot = Snapshot(hosts, [job], scarcity={TypeName("t16"): 1.0})
+    snapshot = Snapshot(hosts, [job], scarcity={(TypeName("t16"), False): 1.0})
     assert [s.host for s in plan(snapshot, Policy()).starts] == ["big", "big"]
 
 
@@ -143,7 +143,7 @@
     hosts[1].zone = Zone("b")
     hosts.append(host("big", 16.0))
     jobs = [entry(f"job{n}", 4, 9, n, patience_s=100.0) for n in range(5)]
-    made = plan(Snapshot(hosts, jobs, scarcity={TypeName("t16"): 1.0}), Policy())
+    made = plan(Snapshot(hosts, jobs, scarcity={(TypeName("t16"), False): 1.0}), Policy())
     assert [s.task.job for s in made.starts] == ["job2", "job3", "job4"]
 
 
@@ -291,7 +291,7 @@
         hosts.append(host(f"h{number}", total, *runs))
     free = {h.id: h.free for h in hosts}
     by_id = {h.id: h for h in hosts}
-    scarce = {h.type: rng.choice([0.0, 0.8]) for h in hosts}
+    scarce = {(h.type, h.spot): rng.choice([0.0, 0.8]) for h in hosts}
     jobs = [
         entry(f"j{n}", rng.choice([1, 2, 4, 8]), rng.uniform(1, 90), n, rng.randint(1, 9))
         for n in range(12)
@@ -363,7 +363,9 @@
         if rng.random() < 0.2:
             made.allowed = lambda h: h.zone == "a"
         entries.append(made)
-    scarcity = {TypeName(f"t{cpus:g}"): rng.choice([0.0, 0.3, 0.9]) for cpus in (4, 8, 32)}
+    scarcity = {
+        (TypeName(f"t{cpus:g}"), False): rng.choice([0.0, 0.3, 0.9]) for cpus in (4, 8, 32)
+    }
     return Snapshot(hosts, entries, {TEAM: cpus(rng.choice([20.0, 1e6]))}, scarcity=scarcity)
 
 
@@ -456,3 +458,16 @@
     job = entry("member", 4.0, 60.0, 1, patience_s=1.0)
     assert not decide([machine], [replace(job)], preemption=False).stops
     assert decide([machine], [job]).stops
+
+
+def test_ordinary_machines_are_left_to_work_that_may_use_no_others() -> None:
+    """Services, which must not be lost with a spot machine, waited until some were rented."""
+    hosts = [host("m1", 4.0), host("m2", 4.0), host("m3", 4.0, run("r", 4, 5))]
+    hosts[1].spot = hosts[2].spot = True
+    jobs = [entry("array", 4, 60, 1, tasks=2, patience_s=50.0)]
+    scarce = {(TypeName("t4"), False): 1.0}
+    assert [s.host for s in plan(Snapshot(hosts, jobs, scarcity=scarce), Policy()).starts] == [
+        "m2"
+    ]
+    jobs = [entry("array", 4, 60, 1, tasks=2, patience_s=50.0)]
+    assert len(plan(Snapshot(hosts, jobs), Policy()).starts) == 2
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -18,6 +18,7 @@
 from dunehold.coordination.fleet.fleet import Fleet
 from dunehold.coordination.picture import guarantees
 from dunehold.coordination.picture.health import Health
+from dunehold.coordination.picture.offers import Offer, demands_of
 from dunehold.coordination.picture.progress import JobProgress
 from dunehold.coordination.zones import watch
 from dunehold.coordination.zones.evacuation import Urgency, urgency
@@ -34,13 +35,16 @@
     AttemptId,
     HostId,
     Image,
+    JobId,
     JobPhase,
     MonotonicTime,
     Revision,
     Room,
     TaskId,
     Team,
+    TypeName,
     WallTime,
+    Zone,
 )
 from tests import world as world_module
 from tests.test_protocol import JOB
@@ -295,6 +299,7 @@
     seeds = range(210, 213)
     known = [play(seed, counted_loss, nodes=5).waited for seed in seeds]
     monkeypatch.setattr(ZoneWatch, "may_rent", lambda *_: MANY)
+    monkeypatch.setattr(ZoneWatch, "rentable", lambda *_: True)
     unknown = [play(seed, counted_loss, nodes=5).waited for seed in seeds]
     assert sum(known) <= 3, known
     assert sum(unknown) >= 9, unknown
@@ -414,6 +419,53 @@
     assert {run.team for run in busy if run.id in beyond} == {"red"} and len(beyond) == 6
 
 
+def test_what_lies_within_a_guarantee_is_not_stopped_because_it_began_last() -> None:
+    """Its room was cleared for another team, and taken by it again, half a second later."""
+    teams = {Team("red"): TeamSettings(Team("red"), Room(16.0, 0.0, 1e9), None, None)}
+    runs = [
+        Run(AttemptId(TaskId(JobId(job), n), Attempt(n)), HostId("m"), Team("red"),
+            Room(4.0, 0.0, 1.0), Image("i"), 1.0, MonotonicTime(float(n)))
+        for n, job in enumerate(["later"] * 4 + ["first"] * 3)
+    ]  # fmt: skip
+    use = Room(28.0, 0.0, 7.0)
+    ledger: Any = SimpleNamespace(
+        present={run.id.task: [run] for run in runs}, team_use=lambda _: use
+    )
+    settings: Any = SimpleNamespace(teams=teams)
+
+    def jobs(guaranteed: set[JobId]) -> list[JobId]:
+        beyond = guarantees.borrowed(settings, ledger, guaranteed)
+        return [run.id.task.job for run in runs if run.id in beyond]
+
+    assert jobs(set()) == ["first"] * 3
+    assert jobs({JobId("first")}) == ["later"] * 3
+
+
 def spec_of(record: JobRecord) -> JobSpec:
     assert record.spec is not None
     return record.spec
+
+
+def test_machines_are_rented_for_tasks_that_may_run_there() -> None:
+    """With one zone lost, the other's machines stood idle for replicas bound to the first."""
+    row = JOB | {"units": 9, "together": False, "spread": True, "flavours": None, "hall": None}
+    spec = decode_job_object(row)
+    north, south = Zone("north"), Zone("south")
+
+    def asked(row: dict[str, Any], tasks: int, placed: dict[Zone, int], *usable: Zone):  # type: ignore[no-untyped-def]
+        found = demands_of(decode_job_object(row), tasks, 9.0, placed, usable)
+        return {
+            zone: sum(d.tasks for d in found if d.allowed(Offer(TypeName("t"), zone, False)))
+            for zone in (north, south)
+        }
+
+    assert spec.spread
+    assert asked(row, 9, {}, north, south) == {north: 5, south: 4}
+    assert asked(row, 6, {north: 3}, north, south) == {north: 2, south: 4}
+    assert asked(row, 9, {}, north) == {north: 5, south: 0}
+    assert asked(row, 4, {north: 5}, north) == {north: 0, south: 0}
+    assert asked(row, 4, {north: 5}, north, south) == {north: 0, south: 4}
+    together = row | {"spread": False, "together": True}
+    assert asked(together, 3, {south: 6}, north) == {north: 0, south: 3}
+    bound = row | {"spread": False, "hall": "south"}
+    assert asked(bound, 9, {}, north) == {north: 0, south: 0}
