--- /dev/null
+++ b/tests/test_zone_loss.py
@@ -0,0 +1,249 @@
+"""Seeded days on which zones are lost, flap and come back: the rules hold, little is wasted."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+import orjson
+import pytest
+
+from dunehold.coordination.fleet.fleet import Fleet
+from dunehold.coordination.zones import watch
+from dunehold.coordination.zones.health import Condition
+from dunehold.coordination.zones.watch import ZoneWatch
+from dunehold.transport.http import Request
+from dunehold.types import (
+    MANY,
+)
+from tests import world as world_module
+from tests.test_rules import crashes, play
+from tests.world import ZONES, World
+
+WELL = Condition.WELL
+
+
+async def cut_off(world: World, zone: str, seconds: float, mode: str = "hold") -> None:
+    """From the other zone, the users, the state service and the cloud."""
+    others = [*(other for other in world_module.ZONES if other != zone)]
+    others += ["state", "cloud", "users"]
+    for other in others:
+        world.spawn(world.network.for_a_while(zone, other, mode, seconds))
+    await asyncio.sleep(seconds)
+
+
+async def long_loss(world: World) -> None:
+    await asyncio.sleep(25.0)
+    await cut_off(world, ZONES[world.rng.random() < 0.5], 45.0)
+
+
+async def flapping(world: World) -> None:
+    await asyncio.sleep(20.0)
+    zone = world.rng.choice(ZONES)
+    for _ in range(6):
+        await cut_off(world, zone, 10.0, world.rng.choice(["hold", "reset"]))
+        await asyncio.sleep(10.0)
+
+
+async def loss_and_crashes(world: World) -> None:
+    """Takeovers between any two steps of the loss and of the return."""
+    world.spawn(long_loss(world))
+    await crashes(world)
+
+
+async def loss_and_outage(world: World) -> None:
+    """The state service is out as the zone is lost, as it returns, or both."""
+    world.spawn(long_loss(world))
+    for at in world.rng.choice([(22.0,), (66.0,), (22.0, 66.0)]):
+        await asyncio.sleep(at - world.now())
+        await world.state.outage(10.0)
+
+
+async def all_machines_die(world: World) -> None:
+    await asyncio.sleep(30.0)
+    zone = world.rng.choice(ZONES)
+    for name, host in list(world.cloud.cloud.hosts.items()):
+        if host.kind.hall == zone and host.up:
+            world.cloud.remove(name, failed=True)
+
+
+async def only_controllers(world: World) -> None:
+    """The controllers of a zone are cut off, its workers are not."""
+    await asyncio.sleep(25.0)
+    zone = world.rng.choice(ZONES)
+    lost = [box for box in world.nodes if ZONES[box.index % 2] == zone]
+    everybody = ["state", "cloud", "users", *world.cloud.workers]
+    everybody += [box.name for box in world.nodes if box not in lost]
+    for box in lost:
+        for other in everybody:
+            for source in (box.name, f"{box.name}#{box.life}"):
+                world.spawn(world.network.for_a_while(other, source, "hold", 30.0))
+
+
+async def spot_wave_in_what_is_left(world: World) -> None:
+    world.spawn(long_loss(world))
+    await asyncio.sleep(40.0)
+    for name, worker in list(world.cloud.workers.items()):
+        if worker.worker.machine.loaner and world.rng.random() < 0.6:
+            world.spawn(world.cloud.take_back(name, 5.0))
+
+
+LOSSES = [
+    long_loss, flapping, loss_and_crashes, loss_and_outage, all_machines_die,
+    only_controllers, spot_wave_in_what_is_left,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", range(200, 203))
+@pytest.mark.parametrize("faults", LOSSES)
+def test_rules_hold_while_a_zone_is_lost(
+    faults: Callable[[World], Awaitable[None]], seed: int
+) -> None:
+    assert play(seed, faults, nodes=(3, 5)[seed % 2]).checker.starts > 20
+
+
+async def two_of_three(world: World) -> None:
+    """One zone is lost after the other, and they come back in that order."""
+    await asyncio.sleep(20.0)
+    first, second = world.rng.sample(world_module.ZONES, 2)
+    world.spawn(cut_off(world, first, 40.0))
+    await asyncio.sleep(15.0)
+    await cut_off(world, second, 40.0, "reset")
+
+
+@pytest.mark.parametrize("seed", range(230, 233))
+def test_rules_hold_while_two_of_three_zones_are_lost(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    monkeypatch.setattr(world_module, "ZONES", ("north", "south", "east"))
+    assert play(seed, two_of_three, nodes=(3, 5)[seed % 2]).checker.starts > 20
+
+
+class Crowded(World):
+    """More machines in each zone than the other needs, and work for all of them."""
+
+    def settings(self, index: int):  # type: ignore[no-untyped-def]
+        settings = super().settings(index)
+        return replace(settings, operator=replace(settings.operator, silent_return_s=12.0))
+
+
+async def counted_loss(world: World) -> None:
+    """How many machines are rented into a zone that has been lost for a lease or more."""
+    for kind in world.cloud.cloud.capacity:
+        world.cloud.cloud.capacity[kind] += 3
+    await asyncio.sleep(25.0)
+    world.spawn(cut_off(world, ZONES[1], 55.0))
+    await asyncio.sleep(14.0)
+    known_at = world.now()
+    seen: set[str] = set()
+    while world.now() < known_at + 40.0:
+        for name, host in world.cloud.cloud.hosts.items():
+            if host.kind.hall == ZONES[1] and host.rented_at > known_at:
+                seen.add(name)
+        await asyncio.sleep(0.2)
+    world.waited = float(len(seen))
+
+
+def test_nothing_is_rented_into_a_lost_zone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Machines booted where nobody heard them, were returned, and were rented again."""
+    monkeypatch.setattr("tests.test_rules.World", Crowded)
+    seeds = range(210, 213)
+    known = [play(seed, counted_loss, nodes=5).waited for seed in seeds]
+    monkeypatch.setattr(ZoneWatch, "may_rent", lambda *_: MANY)
+    monkeypatch.setattr(ZoneWatch, "rentable", lambda *_: True)
+    unknown = [play(seed, counted_loss, nodes=5).waited for seed in seeds]
+    assert sum(known) <= 3, known
+    assert sum(unknown) >= 9, unknown
+
+
+async def leader_lost_meanwhile(world: World) -> None:
+    world.spawn(counted_loss(world))
+    await asyncio.sleep(45.0)
+    for box in world.nodes:
+        if box.node is not None and box.node.leader is not None:
+            world.spawn(box.restart(5.0))
+
+
+def test_the_next_leader_starts_with_what_was_known(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It learnt of the lost zone by rentals of its own."""
+    monkeypatch.setattr("tests.test_rules.World", Crowded)
+    known: list[bool] = []
+    restore = ZoneWatch.restore
+
+    def noted(self: ZoneWatch, found, now) -> None:  # type: ignore[no-untyped-def]
+        known.append(any(record.condition == "lost" for record in found.values()))
+        restore(self, found, now)
+
+    monkeypatch.setattr(ZoneWatch, "restore", noted)
+    worlds = [play(seed, leader_lost_meanwhile, nodes=5) for seed in range(210, 213)]
+    assert sum(known) >= 3, known
+    assert sum(world.waited for world in worlds) <= 3
+
+
+async def loss_and_return(world: World) -> None:
+    """How long after its return a zone is taken to be well."""
+    await asyncio.sleep(25.0)
+    await cut_off(world, ZONES[1], 60.0)
+    began = world.now()
+    while world.now() < began + 90.0:
+        leaders = [n.node.leader for n in world.nodes if n.node is not None and n.node.leader]
+        if leaders and all(led.zones.condition(ZONES[1]) is WELL for led in leaders):
+            break
+        await asyncio.sleep(0.25)
+    world.waited = world.now() - began
+
+
+def test_a_zone_is_used_again_soon_after_its_return(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With no machine left there to tell of it, only probes do."""
+    monkeypatch.setattr("tests.test_rules.World", Crowded)
+    seeds = range(220, 223)
+    watched = [play(seed, loss_and_return, nodes=5).waited for seed in seeds]
+    monkeypatch.setattr(watch, "WATCHERS", 0)
+    monkeypatch.setattr(Fleet, "_probes", lambda *_: [])
+    monkeypatch.setattr(ZoneWatch, "ask", lambda _: asyncio.sleep(0))
+    blind = [play(seed, loss_and_return, nodes=5).waited for seed in seeds]
+    assert max(watched) <= 15.0, watched
+    assert sum(watched) < 0.7 * sum(blind), (watched, blind)
+
+
+def test_what_is_served_is_told_for_each_class_and_team() -> None:
+    """Whichever node is asked; and nothing that was done is lost from the sums."""
+    told: list[dict[str, Any]] = []
+
+    async def ask(world: World) -> None:
+        await asyncio.sleep(150.0)
+        for box in world.nodes:
+            assert box.node is not None
+            request = Request("GET", "/peer/served", {}, b"")
+            told.append(orjson.loads((await box.node.handle_peer(request)).body))
+
+    world = play(1, ask)
+    done = sum(state == "done" for state in world.told.values())
+    for row in told:
+        assert sum(each["done"] for each in row["classes"].values()) >= 0.8 * done > 10
+        for group in ("classes", "teams"):
+            for each in row[group].values():
+                assert 0.0 <= each["share"] <= 1.0 and each["done"] <= each["jobs"]
+                assert each["in_time"] <= each["timed"] <= each["done"]
+    assert {row["zones"].get("north") for row in told} <= {None, "well"}
+
+
+async def apart(world: World) -> None:
+    """The way between the zones is lost, for longer than silent machines are kept."""
+    await asyncio.sleep(30.0)
+    await world.network.for_a_while(*ZONES, "hold", 45.0)
+
+
+def test_machines_that_work_on_beyond_a_partition_are_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They were returned for silence, with the work that a follower there kept alive."""
+    monkeypatch.setattr("tests.test_rules.World", Crowded)
+    monkeypatch.setattr(world_module, "LEASE_S", 14.0)
+    seeds = range(240, 244)
+    kept = sum(play(seed, apart, nodes=5).lost for seed in seeds)
+    monkeypatch.setattr(ZoneWatch, "fed", lambda *_: False)
+    returned = sum(play(seed, apart, nodes=5).lost for seed in seeds)
+    assert kept < returned, (kept, returned)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -1,38 +1,34 @@
-"""A zone that is lost and comes back: judged rightly, rented by, and nothing run twice."""
+"""How a zone is judged, what follows from it, and who goes first: each part by itself."""
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from itertools import pairwise
 from types import SimpleNamespace
 from typing import Any
 
-import orjson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dunehold.bookkeeping.hosts import Run
+from dunehold.bookkeeping.hosts import Host, Run
 from dunehold.bookkeeping.records import JobRecord
-from dunehold.coordination.fleet.fleet import Fleet
 from dunehold.coordination.picture import guarantees
 from dunehold.coordination.picture.health import Health
 from dunehold.coordination.picture.offers import Offer, demands_of
 from dunehold.coordination.picture.progress import JobProgress
-from dunehold.coordination.zones import watch
 from dunehold.coordination.zones.evacuation import Urgency, urgency
 from dunehold.coordination.zones.health import Condition, Evidence, Kind, ZoneHealth
 from dunehold.coordination.zones.shares import fair_shares
 from dunehold.coordination.zones.watch import ZoneWatch
+from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.users import JobSpec, decode_job_object
 from dunehold.settings import TeamSettings
-from dunehold.transport.http import Request
 from dunehold.types import (
     MANY,
     NO_ROOM,
     Attempt,
     AttemptId,
+    Duration,
     HostId,
     Image,
     JobId,
@@ -46,14 +42,18 @@
     WallTime,
     Zone,
 )
-from tests import world as world_module
 from tests.test_protocol import JOB
-from tests.test_rules import crashes, play
-from tests.world import ZONES, World
+from tests.world import ZONES
 
 WELL, DOUBTFUL = Condition.WELL, Condition.DOUBTFUL
+
+
 LOST, RETURNING = Condition.LOST, Condition.RETURNING
+
+
 HERE = (Kind(10, 10), Kind(4, 4))
+
+
 SILENT = (Kind(10, 0), Kind(4, 1))
 
 
@@ -169,214 +169,6 @@
     assert urgency(True, 1, 1) is Urgency.PLAIN
 
 
-# -- seeded worlds ------------------------------------------------------------------------
-
-
-async def cut_off(world: World, zone: str, seconds: float, mode: str = "hold") -> None:
-    """From the other zone, the users, the state service and the cloud."""
-    others = [*(other for other in world_module.ZONES if other != zone)]
-    others += ["state", "cloud", "users"]
-    for other in others:
-        world.spawn(world.network.for_a_while(zone, other, mode, seconds))
-    await asyncio.sleep(seconds)
-
-
-async def long_loss(world: World) -> None:
-    await asyncio.sleep(25.0)
-    await cut_off(world, ZONES[world.rng.random() < 0.5], 45.0)
-
-
-async def flapping(world: World) -> None:
-    await asyncio.sleep(20.0)
-    zone = world.rng.choice(ZONES)
-    for _ in range(6):
-        await cut_off(world, zone, 10.0, world.rng.choice(["hold", "reset"]))
-        await asyncio.sleep(10.0)
-
-
-async def loss_and_crashes(world: World) -> None:
-    """Takeovers between any two steps of the loss and of the return."""
-    world.spawn(long_loss(world))
-    await crashes(world)
-
-
-async def loss_and_outage(world: World) -> None:
-    """The state service is out as the zone is lost, as it returns, or both."""
-    world.spawn(long_loss(world))
-    for at in world.rng.choice([(22.0,), (66.0,), (22.0, 66.0)]):
-        await asyncio.sleep(at - world.now())
-        await world.state.outage(10.0)
-
-
-async def all_machines_die(world: World) -> None:
-    await asyncio.sleep(30.0)
-    zone = world.rng.choice(ZONES)
-    for name, host in list(world.cloud.cloud.hosts.items()):
-        if host.kind.hall == zone and host.up:
-            world.cloud.remove(name, failed=True)
-
-
-async def only_controllers(world: World) -> None:
-    """The controllers of a zone are cut off, its workers are not."""
-    await asyncio.sleep(25.0)
-    zone = world.rng.choice(ZONES)
-    lost = [box for box in world.nodes if ZONES[box.index % 2] == zone]
-    everybody = ["state", "cloud", "users", *world.cloud.workers]
-    everybody += [box.name for box in world.nodes if box not in lost]
-    for box in lost:
-        for other in everybody:
-            for source in (box.name, f"{box.name}#{box.life}"):
-                world.spawn(world.network.for_a_while(other, source, "hold", 30.0))
-
-
-async def spot_wave_in_what_is_left(world: World) -> None:
-    world.spawn(long_loss(world))
-    await asyncio.sleep(40.0)
-    for name, worker in list(world.cloud.workers.items()):
-        if worker.worker.machine.loaner and world.rng.random() < 0.6:
-            world.spawn(world.cloud.take_back(name, 5.0))
-
-
-LOSSES = [
-    long_loss, flapping, loss_and_crashes, loss_and_outage, all_machines_die,
-    only_controllers, spot_wave_in_what_is_left,
-]  # fmt: skip
-
-
-@pytest.mark.parametrize("seed", range(200, 203))
-@pytest.mark.parametrize("faults", LOSSES)
-def test_rules_hold_while_a_zone_is_lost(
-    faults: Callable[[World], Awaitable[None]], seed: int
-) -> None:
-    assert play(seed, faults, nodes=(3, 5)[seed % 2]).checker.starts > 20
-
-
-async def two_of_three(world: World) -> None:
-    """One zone is lost after the other, and they come back in that order."""
-    await asyncio.sleep(20.0)
-    first, second = world.rng.sample(world_module.ZONES, 2)
-    world.spawn(cut_off(world, first, 40.0))
-    await asyncio.sleep(15.0)
-    await cut_off(world, second, 40.0, "reset")
-
-
-@pytest.mark.parametrize("seed", range(230, 233))
-def test_rules_hold_while_two_of_three_zones_are_lost(
-    monkeypatch: pytest.MonkeyPatch, seed: int
-) -> None:
-    monkeypatch.setattr(world_module, "ZONES", ("north", "south", "east"))
-    assert play(seed, two_of_three, nodes=(3, 5)[seed % 2]).checker.starts > 20
-
-
-class Crowded(World):
-    """More machines in each zone than the other needs, and work for all of them."""
-
-    def settings(self, index: int):  # type: ignore[no-untyped-def]
-        settings = super().settings(index)
-        return replace(settings, operator=replace(settings.operator, silent_return_s=12.0))
-
-
-async def counted_loss(world: World) -> None:
-    """How many machines are rented into a zone that has been lost for a lease or more."""
-    for kind in world.cloud.cloud.capacity:
-        world.cloud.cloud.capacity[kind] += 3
-    await asyncio.sleep(25.0)
-    world.spawn(cut_off(world, ZONES[1], 55.0))
-    await asyncio.sleep(14.0)
-    known_at = world.now()
-    seen: set[str] = set()
-    while world.now() < known_at + 40.0:
-        for name, host in world.cloud.cloud.hosts.items():
-            if host.kind.hall == ZONES[1] and host.rented_at > known_at:
-                seen.add(name)
-        await asyncio.sleep(0.2)
-    world.waited = float(len(seen))
-
-
-def test_nothing_is_rented_into_a_lost_zone(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Machines booted where nobody heard them, were returned, and were rented again."""
-    monkeypatch.setattr("tests.test_rules.World", Crowded)
-    seeds = range(210, 213)
-    known = [play(seed, counted_loss, nodes=5).waited for seed in seeds]
-    monkeypatch.setattr(ZoneWatch, "may_rent", lambda *_: MANY)
-    monkeypatch.setattr(ZoneWatch, "rentable", lambda *_: True)
-    unknown = [play(seed, counted_loss, nodes=5).waited for seed in seeds]
-    assert sum(known) <= 3, known
-    assert sum(unknown) >= 9, unknown
-
-
-async def leader_lost_meanwhile(world: World) -> None:
-    world.spawn(counted_loss(world))
-    await asyncio.sleep(45.0)
-    for box in world.nodes:
-        if box.node is not None and box.node.leader is not None:
-            world.spawn(box.restart(5.0))
-
-
-def test_the_next_leader_starts_with_what_was_known(monkeypatch: pytest.MonkeyPatch) -> None:
-    """It learnt of the lost zone by rentals of its own."""
-    monkeypatch.setattr("tests.test_rules.World", Crowded)
-    known: list[bool] = []
-    restore = ZoneWatch.restore
-
-    def noted(self: ZoneWatch, found, now) -> None:  # type: ignore[no-untyped-def]
-        known.append(any(record.condition == "lost" for record in found.values()))
-        restore(self, found, now)
-
-    monkeypatch.setattr(ZoneWatch, "restore", noted)
-    worlds = [play(seed, leader_lost_meanwhile, nodes=5) for seed in range(210, 213)]
-    assert sum(known) >= 3, known
-    assert sum(world.waited for world in worlds) <= 3
-
-
-async def loss_and_return(world: World) -> None:
-    """How long after its return a zone is taken to be well."""
-    await asyncio.sleep(25.0)
-    await cut_off(world, ZONES[1], 60.0)
-    began = world.now()
-    while world.now() < began + 90.0:
-        leaders = [n.node.leader for n in world.nodes if n.node is not None and n.node.leader]
-        if leaders and all(led.zones.condition(ZONES[1]) is WELL for led in leaders):
-            break
-        await asyncio.sleep(0.25)
-    world.waited = world.now() - began
-
-
-def test_a_zone_is_used_again_soon_after_its_return(monkeypatch: pytest.MonkeyPatch) -> None:
-    """With no machine left there to tell of it, only probes do."""
-    monkeypatch.setattr("tests.test_rules.World", Crowded)
-    seeds = range(220, 223)
-    watched = [play(seed, loss_and_return, nodes=5).waited for seed in seeds]
-    monkeypatch.setattr(watch, "WATCHERS", 0)
-    monkeypatch.setattr(Fleet, "_probes", lambda *_: [])
-    monkeypatch.setattr(ZoneWatch, "ask", lambda _: asyncio.sleep(0))
-    blind = [play(seed, loss_and_return, nodes=5).waited for seed in seeds]
-    assert max(watched) <= 15.0, watched
-    assert sum(watched) < 0.7 * sum(blind), (watched, blind)
-
-
-def test_what_is_served_is_told_for_each_class_and_team() -> None:
-    """Whichever node is asked; and nothing that was done is lost from the sums."""
-    told: list[dict[str, Any]] = []
-
-    async def ask(world: World) -> None:
-        await asyncio.sleep(150.0)
-        for box in world.nodes:
-            assert box.node is not None
-            request = Request("GET", "/peer/served", {}, b"")
-            told.append(orjson.loads((await box.node.handle_peer(request)).body))
-
-    world = play(1, ask)
-    done = sum(state == "done" for state in world.told.values())
-    for row in told:
-        assert sum(each["done"] for each in row["classes"].values()) >= 0.8 * done > 10
-        for group in ("classes", "teams"):
-            for each in row[group].values():
-                assert 0.0 <= each["share"] <= 1.0 and each["done"] <= each["jobs"]
-                assert each["in_time"] <= each["timed"] <= each["done"]
-    assert {row["zones"].get("north") for row in told} <= {None, "well"}
-
-
 def test_too_little_room_is_promised_by_guarantee_and_stops_nothing() -> None:
     """Half the room is left: each team's first jobs go first, as far as its share."""
     teams = {
@@ -469,3 +261,83 @@
     assert asked(together, 3, {south: 6}, north) == {north: 0, south: 3}
     bound = row | {"spread": False, "hall": "south"}
     assert asked(bound, 9, {}, north) == {north: 0, south: 0}
+
+
+def watching(hosts: list[Host]) -> ZoneWatch:
+    """A leader's watch over two zones; its settings have reports every two seconds."""
+    ledger: Any = SimpleNamespace(
+        hosts={host.id: host for host in hosts}, took_over_at=MonotonicTime(0.0), relayed={}
+    )
+    settings: Any = SimpleNamespace(
+        report_s=2.0, zones=tuple(map(Zone, ZONES)), peers=(SimpleNamespace(zone=ZONES[1]),)
+    )
+    kind = MachineType(
+        TypeName("small"), Room(4.0, 0.0, 16.0), 8.0, 0.5, 0.2, 0.1, Duration(20.0), ()
+    )
+    return ZoneWatch(settings, ledger, {kind.name: kind}, None, 6.0, lambda _: None)  # type: ignore[arg-type]
+
+
+def machine(name: str, zone: str, spot: bool, heard_at: float) -> Host:
+    host = Host(
+        HostId(name), TypeName("small"), Zone(zone), spot, "", MonotonicTime(1.0), NO_ROOM
+    )
+    host.up, host.heard_at = True, MonotonicTime(heard_at)
+    return host
+
+
+def lose(watch: ZoneWatch, now: float = 100.0) -> None:
+    for step in (-6, *range(8)):
+        for host in watch.ledger.hosts.values():
+            if host.zone == ZONES[0]:
+                host.heard_at = MonotonicTime(now + step)
+        watch.step(MonotonicTime(now + step), MonotonicTime(0.0))
+    assert watch.lost(Zone(ZONES[1]))
+
+
+def fleet_of(silent: int) -> list[Host]:
+    hosts = [machine(f"n{n}", ZONES[0], n % 2 == 0, 100.0) for n in range(8)]
+    return hosts + [machine(f"s{n}", ZONES[1], n % 2 == 0, 90.0) for n in range(silent)]
+
+
+def test_two_ordinary_machines_stay_to_hear_of_the_return() -> None:
+    watch = watching(fleet_of(8))
+    lose(watch)
+    assert watch.watchers == {"s1", "s3"}
+    watch.ledger.hosts["s1"].deleting = True  # the cloud does not have it any more
+    watch.step(MonotonicTime(108.0), MonotonicTime(0.0))
+    assert watch.watchers == {"s3", "s5"}
+    assert watch.may_rent(Zone(ZONES[1])) == 0 and not watch.probes(MonotonicTime(108.0))
+
+
+def test_probes_are_sent_where_no_machine_is_left_and_ever_more_seldom() -> None:
+    watch = watching(fleet_of(8))
+    lose(watch)
+    for host in list(watch.ledger.hosts.values()):
+        if host.zone == ZONES[1]:
+            del watch.ledger.hosts[host.id]
+    sent = [at for at in range(110, 1500) if watch.probes(MonotonicTime(float(at)))]
+    gaps = [later - earlier for earlier, later in pairwise(sent)]
+    assert gaps == [30, 60, 120, 240, 300, 300, 300]
+
+
+def test_a_zone_that_is_back_is_filled_in_steps_until_it_is_trusted() -> None:
+    watch = watching(fleet_of(80))
+    lose(watch)
+    back = [host for host in watch.ledger.hosts.values() if host.zone == ZONES[1]]
+    now = MonotonicTime(120.0)
+    for host in watch.ledger.hosts.values():
+        host.heard_at = now
+    watch.step(now, MonotonicTime(0.0))
+    assert watch.condition(Zone(ZONES[1])) is RETURNING
+    assert watch.may_rent(Zone(ZONES[1])) == 8  # a tenth of what was up there
+    for host in back[:5]:
+        host.up, host.heard_at = False, MonotonicTime(-1e9)  # as if rented just now
+    assert watch.may_rent(Zone(ZONES[1])) == 3
+    assert watch.may_rent(Zone(ZONES[0])) == MANY
+
+
+def test_silent_machines_of_a_lost_zone_are_not_counted_on() -> None:
+    watch = watching(fleet_of(8))
+    lose(watch)
+    silent, heard = watch.ledger.hosts[HostId("s0")], watch.ledger.hosts[HostId("n0")]
+    assert watch.written_off(silent) and not watch.written_off(heard)
