--- a/dunehold/bookkeeping/hosts.py
+++ b/dunehold/bookkeeping/hosts.py
@@ -43,6 +43,7 @@
     in_reply: bool = False  # in a report response that may have been carried out
     unanswered: int = 0  # direct starts without an answer: they may still be carried out
     phase: TaskPhase = TaskPhase.FETCHING
+    cached: bool = False  # its image was on the machine when the start was planned
     tier: Tier = Tier.FOREGROUND
     running_at: MonotonicTime | None = None
     late: bool = False  # seen to run only after a silence
@@ -127,4 +128,5 @@
     exits: tuple[Exit, ...] = ()
     lost: tuple[Run, ...] = ()
     adopted: tuple[Run, ...] = ()
+    begun: tuple[Run, ...] = ()  # seen to run for the first time
     changed: bool = False
--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -226,12 +226,16 @@
             changed = True
         exits: list[Exit] = []
         adopted: list[Run] = []
+        begun: list[Run] = []
         listed = set()
         for task in report.tasks:
             listed.add(task.id)
             if task.id not in host.runs:
                 adopted.append(self._adopt(host, task, now))
+            waited = host.runs[task.id].running_at is None
             exit_ = self._ingest_task(host, task, now, timely)
+            if waited and host.runs[task.id].running_at is not None:
+                begun.append(host.runs[task.id])
             if exit_ is not None:
                 exits.append(exit_)
         for run in list(host.runs.values()):
@@ -251,7 +255,7 @@
             host.idle_since = None
         elif host.idle_since is None:
             host.idle_since = now
-        return Outcome(True, tuple(exits), tuple(lost), tuple(adopted), changed)
+        return Outcome(True, tuple(exits), tuple(lost), tuple(adopted), tuple(begun), changed)
 
     def _ingest_task(
         self, host: Host, task: TaskReport, now: MonotonicTime, timely: bool
@@ -391,6 +395,7 @@
             spec.image_gb,
             now,
             service=spec.kind is Kind.SERVICE,
+            cached=spec.image in host.images,
             tier=tier,
         )
         self._occupy(host, run)
--- a/dunehold/cli.py
+++ b/dunehold/cli.py
@@ -49,6 +49,7 @@
     served.add_argument(
         "--server", default="127.0.0.1:8081", help="HOST:PORT of any controller's peer_bind"
     )
+    served.add_argument("--json", action="store_true", help="print the answer as it came")
     served.add_argument("--timeout", type=float, default=5.0, help="seconds to wait")
     for command in (status, cancel):
         command.add_argument("job", help="the job's id, such as job-000412")
@@ -195,6 +196,11 @@
     except NoResponse as error:
         print(f"dunehold: {options.server}: no answer ({error}); try again", file=sys.stderr)
         return EXIT_FAILED
+    if options.command == "served" and code == 200 and not options.json:
+        from dunehold import report
+
+        print(report.served(codec.load_object(data)))
+        return 0
     print(data.decode("utf-8", "replace"))
     if code in (200, 201):
         return 0
--- a/dunehold/coordination/picture/progress.py
+++ b/dunehold/coordination/picture/progress.py
@@ -22,6 +22,8 @@
     start_limit: float = MANY  # when its class wants it started
     durations: list[float] = field(default_factory=list)  # of its tasks, in order
     held_until: MonotonicTime = MonotonicTime(-1e9)
+    begun: set[int] = field(default_factory=set)  # tasks that were seen to run
+    limited_s: float = 0.0  # for so long its team had no room under its limit
 
 
 def slowness(progress: JobProgress, ran_s: float) -> float | None:
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -22,6 +22,7 @@
 from dunehold.coordination.scheduler.model import Plan, Policy, Reservation
 from dunehold.coordination.term.delivery import Delivery
 from dunehold.coordination.term.judge import Judge
+from dunehold.coordination.term.lateness import Lateness
 from dunehold.coordination.zones.watch import ZoneWatch
 from dunehold.protocol import workers
 from dunehold.protocol.cloud import CloudClient, MachineType
@@ -29,6 +30,7 @@
 from dunehold.settings import Settings
 from dunehold.transport.http import Connect
 from dunehold.types import (
+    MANY,
     AttemptId,
     Duration,
     HostId,
@@ -49,6 +51,7 @@
 TICK_S = 0.5
 SCALE_S = 1.0
 LOG_S = 10.0
+LATE_LOG_S = 60
 PREEMPT_S = 0.5
 DEAF_REPORTS = 3.0
 # With many machines, some report within any second: silence is told from chance sooner.
@@ -88,6 +91,7 @@
     fleet: Fleet = field(init=False)
     judge: Judge = field(init=False)
     zones: ZoneWatch = field(init=False)
+    lateness: Lateness = field(init=False)
     _dirty: bool = True
     _planned_at: MonotonicTime = MonotonicTime(-1e9)
     _plan_gap_s: float = 0.0
@@ -104,6 +108,7 @@
 
     def __post_init__(self) -> None:
         self.health = Health(self.settings.operator.sick_after_errors)
+        self.lateness = Lateness(self.ledger.took_over_at)
         self.zones = ZoneWatch(
             self.settings,
             self.ledger,
@@ -268,12 +273,25 @@
             progress = self.progress.get(run.id.task.job)
             if progress is not None:
                 progress.waiting.discard(run.id.task.number)
+        for run in outcome.begun:
+            self._began(run)
         for exit_ in outcome.exits:
             self._exited(host, exit_)
         self._lost(list(outcome.lost))
         if outcome.changed:
             self._dirty = True
 
+    def _began(self, run: Run) -> None:
+        job = run.id.task.job
+        progress, record = self.progress.get(job), self.view.active.get(job)
+        if progress is None or record is None:
+            return
+        limit = progress.start_limit
+        if self.picture.guaranteed is not None and job in self.picture.guaranteed:
+            limit = min(limit, self.picture.guarantee_s)
+        if limit < MANY:
+            self.lateness.began(run, progress, limit, self.wall() - record.accepted_at)
+
     def _lost(self, runs: list[Run]) -> None:
         for run in runs:
             log.info("attempt %s on %s is gone", run.id, run.host)
@@ -506,6 +524,7 @@
             for host in self.ledger.hosts.values():
                 if host.known and self.ledger.has_direct(host):
                     self.delivery.talk(host.id)
+            self._note_limits()
             self.picture.guaranteed = None
             self.picture.triage(self.progress, now, WallTime(self.wall()))
             self._dirty = True
@@ -518,6 +537,13 @@
             if now - logged_at >= LOG_S:
                 logged_at = now
                 self._log_fleet()
+                if int(now) % LATE_LOG_S < LOG_S:
+                    log.info("late starts in this term: %s", self.lateness.line())
+
+    def _note_limits(self) -> None:
+        for progress in self.progress.values():
+            if progress.waiting and not self.ledger.team_allows(progress.spec):
+                progress.limited_s += TICK_S
 
     async def _fleet_silent(self) -> bool:
         """Nobody hears any machine: giving way would only pass that on.
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from dunehold import report
 from dunehold.settings import SettingsError, load
 
 ROOT = Path(__file__).parent.parent
@@ -110,3 +111,14 @@
         assert done.returncode == 2
         assert len(done.stderr.strip().splitlines()) == 1
     assert run("status", "job-000001", "--server", "127.0.0.1:1").returncode == 1
+
+
+def test_what_is_served_is_printed_as_tables() -> None:
+    tally = {"jobs": 9, "done": 7, "cancelled": 1, "in_time": 5, "timed": 7,
+             "cpu_s": 7200.0, "served_cpu_s": 5400.0, "share": 0.75}  # fmt: skip
+    row = {"since_s": 60.0, "classes": {"train": tally}, "teams": {"vision": tally},
+           "zones": {"north": "lost", "south": "well"}}  # fmt: skip
+    printed = report.served(row).splitlines()
+    assert "train 9 7 5/7 1 2.00 1.50 0.750" in [" ".join(line.split()) for line in printed]
+    assert printed[-1] == "zones: north lost"
+    assert report.served(row | {"zones": {}}).endswith("zones: all well")
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from dunehold.bookkeeping.hosts import Host, Run
 from dunehold.bookkeeping.ledger import Ledger
 from dunehold.bookkeeping.records import HostRecord, JobRecord, RelayRecord
 from dunehold.bookkeeping.view import View
+from dunehold.coordination.picture.progress import JobProgress
+from dunehold.coordination.term.lateness import Cause, Lateness, Wait
 from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.users import decode_job_object
 from dunehold.protocol.workers import Report, Start, TaskReport
@@ -237,3 +241,39 @@
     assert cancelled.most_use(TEAM).cpus == 8.0  # it may still be running
     done = JobRecord(TASK.job, JobPhase.DONE, Revision(6), WallTime(0.0), None, 8)
     assert taken_over({HOST: {TASK}}, done).most_use(TEAM) == NO_ROOM
+
+
+def test_a_late_start_is_put_down_to_the_longest_part_of_its_wait() -> None:
+    def cause(**more: float) -> Cause:
+        plain: dict[str, Any] = {
+            "accepted_at": 0.0, "known_at": 0.0, "planned_at": 2.0, "running_at": 10.0,
+            "limited_s": 0.0, "cached": False,
+        }  # fmt: skip
+        wait = Wait(**plain | more)
+        assert sum(wait.parts().values()) == wait.total_s
+        assert min(wait.parts().values()) >= 0.0
+        return wait.cause()
+
+    assert cause() is Cause.IMAGE
+    assert cause(cached=True) is Cause.COMMAND
+    assert cause(planned_at=9.0) is Cause.ROOM
+    assert cause(planned_at=9.0, limited_s=40.0) is Cause.LIMIT
+    assert cause(planned_at=9.0, known_at=6.0) is Cause.LEADER
+    assert cause(accepted_at=4.0, planned_at=3.0) is Cause.IMAGE  # clocks differ a little
+
+
+def test_each_task_counts_once_and_only_if_this_leader_saw_it_begin() -> None:
+    ledger, host, record = make_ledger()
+    assert record.spec is not None
+    known = ledger.ingest(report(1, 1), MonotonicTime(1.0))
+    assert known.accepted and not known.begun
+    run = begin(ledger, host, record, MonotonicTime(2.0))
+    task = TaskReport(run.id, TaskPhase.RUNNING, None, False)
+    outcome = ledger.ingest(report(1, 2, task), MonotonicTime(9.0))
+    assert outcome.begun == (run,)
+    assert not ledger.ingest(report(1, 3, task), MonotonicTime(9.5)).begun
+    lateness, progress = Lateness(MonotonicTime(0.0)), JobProgress(record.spec, set())
+    run.late = False
+    for _ in range(2):
+        lateness.began(run, progress, 5.0, 8.0)
+    assert lateness.starts == {"train": 1} and lateness.line() == "train 1 of 1: image 1"
