Scarcity by kind does not depend on which kinds are up just now

It is counted among both kinds of every type now, which is as before wherever all work may use spot machines.

--- a/dunehold/coordination/picture/picture.py
+++ b/dunehold/coordination/picture/picture.py
@@ -433,6 +433,9 @@
             if host.draining is None and not host.deleting and host.type in self.types:
                 kind = host.type, host.spot
                 room[kind] = room.get(kind, 0.0) + host.room.cpus
+        # Both kinds of every type that there is: as spot machines come and go, what fits a job
+        # must stay the same, or its wants of before would go on counting against a part of it.
+        kinds = {(name, spot) for name, _ in room for spot in (True, False)}
         wanted: dict[frozenset[MachineKind], float] = {}
         for job, progress in jobs.items():
             if self.health.broken(job):
@@ -440,12 +443,12 @@
             spec = progress.spec
             fits = frozenset(
                 (name, spot)
-                for name, spot in room
+                for name, spot in kinds
                 if self.types[name].room.holds(spec.need)
                 and (spec.types is None or name in spec.types)
                 and (spec.spot or not spot)
             )
-            if fits and len(fits) < len(room):
+            if fits and len(fits) < len(kinds):
                 left = len(progress.waiting) + len(self.ledger.by_job.get(job, ()))
                 wanted[fits] = wanted.get(fits, 0.0) + left * spec.need.cpus
         fade = 0.5 ** ((now - self.weighed_at) / SCARCITY_HALF_LIFE_S)
--- a/tests/test_measy.py
+++ b/tests/test_measy.py
@@ -471,3 +471,38 @@
     ]
     jobs = [entry("array", 4, 60, 1, tasks=2, patience_s=50.0)]
     assert len(plan(Snapshot(hosts, jobs), Policy()).starts) == 2
+
+
+def test_scarcity_does_not_depend_on_which_kinds_are_up_just_now() -> None:
+    """Ordinary machines stayed scarce for minutes after the spot ones of their type came up."""
+    small, big = TypeName("t4"), TypeName("t32")
+    types = {
+        name: MachineType(name, cpus(size), 9.0, 0.5, 1.0, 0.3, Duration(20.0), ())
+        for name, size in ((small, 4.0), (big, 32.0))
+    }
+    up = [(small, False), (big, False)]
+    hosts = {
+        HostId(f"{name}-{spot}"): SimpleNamespace(
+            type=name, spot=spot, draining=None, deleting=False, room=types[name].room
+        )
+        for name, spot in up
+    }
+    ledger: Any = SimpleNamespace(hosts=hosts, by_job={})
+    picture = Picture(
+        SimpleNamespace(objectives=()), ledger, None, types, Health(2), None  # type: ignore[arg-type]
+    )  # fmt: skip
+    wide = replace(decode_job_object(JOB), need=cpus(16.0), types=None, spot=True)
+    jobs: Any = {wide.id: JobProgress(wide, {0, 1})}
+    picture.weigh(jobs, 0.0)  # type: ignore[arg-type]
+    assert picture.scarcity == {(big, True): 1.0, (big, False): 1.0}
+    for number in range(3):
+        hosts[HostId(f"s{number}")] = replace_spot(hosts[HostId("t32-False")])
+    picture.weigh(jobs, 1.0)  # type: ignore[arg-type]
+    assert picture.scarcity[big, True] == picture.scarcity[big, False] == 0.25
+    steady = replace(wide, spot=False)
+    picture.weigh({steady.id: JobProgress(steady, {0, 1})}, 2.0)  # type: ignore[arg-type]
+    assert picture.scarcity[big, False] == 1.0 > picture.scarcity[big, True]
+
+
+def replace_spot(host: SimpleNamespace) -> SimpleNamespace:
+    return SimpleNamespace(**vars(host) | {"spot": True})
