Zones and packs: one name for each thing, less state, no work twice; nothing decided anew

The condition of a zone stood in the records and in zones/health.py: one enumeration in types.py. The room of a value stood four times: records.value_room.

One test fails before and after it: a race of submissions that hypothesis found today.

--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -11,6 +11,7 @@
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.users import JobSpec, decode_job_object, encode_job
 from dunehold.types import (
+    Condition,
     HostId,
     JobId,
     JobPhase,
@@ -40,7 +41,11 @@
 ZONES = PREFIX + "zones"  # those that are not well, for the next leader
 START_SLOTS = 256  # the log of starts is a ring of so many keys
 
-CONDITIONS = ("well", "doubtful", "lost", "returning")  # of a zone
+
+def value_room(value_bytes: int) -> int:
+    """Bytes of a value that are filled: how the state service counts may differ."""
+    return value_bytes * 3 // 4
+
 
 Placed = dict[HostId, set[TaskId]]  # machine -> tasks that may have been started there
 
@@ -124,7 +129,7 @@
 class ZoneRecord:
     """What a leader knew of a zone that is, or lately was, not well."""
 
-    condition: str
+    condition: Condition
     flaps: int
     size: int  # machines up when it was last well
 
@@ -264,9 +269,9 @@
         raise BadMessage("zones record")
     found = {}
     for zone, row in value.items():
-        if not isinstance(row, list) or len(row) < 3 or row[0] not in CONDITIONS:
+        if not isinstance(row, list) or len(row) < 3:
             raise BadMessage("zones record")
-        found[Zone(zone)] = ZoneRecord(str(row[0]), int(row[1]), int(row[2]))
+        found[Zone(zone)] = ZoneRecord(Condition(row[0]), int(row[1]), int(row[2]))
     return found
 
 
--- a/dunehold/bookkeeping/unseen.py
+++ b/dunehold/bookkeeping/unseen.py
@@ -33,7 +33,7 @@
     _by_job: dict[JobId, int] = field(default_factory=dict)  # such tasks of each job
     _needs: dict[TaskId, tuple[Team, Room]] = field(default_factory=dict)
     _by_team: dict[Team, Counter[Room]] = field(default_factory=dict)
-    _blind: dict[HostId, int] = field(default_factory=dict)  # tasks that nothing describes
+    _blind: set[HostId] = field(default_factory=set)  # with tasks that nothing describes
     _sums: dict[Team, Room] = field(default_factory=dict)  # as counted last
 
     def add(self, host: HostId, room: Room) -> None:
@@ -44,15 +44,14 @@
         for host, tasks in placed.items():
             if host not in self.hosts:
                 continue
-            for task in tasks:
-                if task in self._tasks.setdefault(host, set()):
-                    continue
-                self._tasks[host].add(task)
+            on_it = self._tasks.setdefault(host, set())
+            for task in tasks - on_it:
+                on_it.add(task)
                 if task not in self._places:
                     self._count(task, jobs.get(task.job))
                 self._places.setdefault(task, set()).add(host)
                 if task not in self._needs and not _over(jobs.get(task.job)):
-                    self._blind[host] = self._blind.get(host, 0) + 1
+                    self._blind.add(host)
                     self._sums.clear()
 
     def _count(self, task: TaskId, record: JobRecord | None) -> None:
@@ -68,7 +67,8 @@
         """Nothing is on it unseen any more; the tasks that may be nowhere unseen now."""
         if self.hosts.pop(host, None) is None:
             return []
-        if self._blind.pop(host, None) is not None:
+        if host in self._blind:
+            self._blind.remove(host)
             self._sums.clear()
         released = []
         for task in sorted(self._tasks.pop(host, ())):
--- a/dunehold/cli.py
+++ b/dunehold/cli.py
@@ -46,16 +46,13 @@
     served = commands.add_parser(
         "served", help="what is served of each class and team, and which zones are not well"
     )
-    served.add_argument(
-        "--server", default="127.0.0.1:8081", help="HOST:PORT of any controller's peer_bind"
-    )
     served.add_argument("--json", action="store_true", help="print the answer as it came")
-    served.add_argument("--timeout", type=float, default=5.0, help="seconds to wait")
     for command in (status, cancel):
         command.add_argument("job", help="the job's id, such as job-000412")
-    for command in (submit, status, cancel):
+    for command in (submit, status, cancel, served):
+        port, where = (8081, "'s peer_bind") if command is served else (8080, "")
         command.add_argument(
-            "--server", default="127.0.0.1:8080", help="HOST:PORT of any controller"
+            "--server", default=f"127.0.0.1:{port}", help=f"HOST:PORT of any controller{where}"
         )
         command.add_argument("--timeout", type=float, default=5.0, help="seconds to wait")
     if emulator:
--- a/dunehold/coordination/durable/ends.py
+++ b/dunehold/coordination/durable/ends.py
@@ -14,7 +14,6 @@
 from dunehold.settings import Settings
 from dunehold.types import Revision, Token
 
-VALUE_SHARE = 0.75  # of a value's size is filled; how the state service counts may differ
 CALM_S = 30.0  # without a new pack: submissions get keys of their own again
 
 
@@ -23,7 +22,6 @@
     """Packs of ends of one term, named by its token: no other term uses these names."""
 
     settings: Settings
-    view: View
     token: Token
     _count: int = 0
     _txn: Txn | None = None
@@ -42,7 +40,7 @@
         if self._packer is None or not self._packer.add(ended):
             if space < 1:
                 return False
-            self._packer = EndPacker(int(self.settings.value_bytes * VALUE_SHARE))
+            self._packer = EndPacker(records.value_room(self.settings.value_bytes))
             self._packer.add(ended)
             self._count += 1
             key = f"{records.ENDS}{self.token}.{self._count}"
--- a/dunehold/coordination/durable/recorder.py
+++ b/dunehold/coordination/durable/recorder.py
@@ -77,7 +77,7 @@
     _written: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
-        self.ends = Ends(self.settings, self.view, self.token)
+        self.ends = Ends(self.settings, self.token)
         self.sweeper = Sweeper(
             self.settings,
             self.state,
@@ -193,7 +193,7 @@
                     txn.deletes.add(records.RENTALS + name)
         broken = self.new_broken
         if broken is not None and txn.size < limit:
-            room = self.settings.value_bytes * 3 // 4
+            room = records.value_room(self.settings.value_bytes)
             txn.puts[records.BROKEN] = records.encode_broken(
                 broken & self.view.active.keys(), room
             )
@@ -266,7 +266,7 @@
         for run in list(self.starts.values()):
             if not self._planned(run):
                 del self.starts[run.id]
-        room = self.settings.value_bytes * 3 // 4
+        room = records.value_room(self.settings.value_bytes)
         for number in range(slots):
             if not waiting:
                 break
--- a/dunehold/coordination/fleet/fleet.py
+++ b/dunehold/coordination/fleet/fleet.py
@@ -71,7 +71,6 @@
     late: set[HostId] = field(default_factory=set)  # that should be up by now
     listed: dict[HostId, Listed] = field(default_factory=dict)
     silent_since: MonotonicTime = MonotonicTime(-math.inf)  # nobody heard any machine then
-    _unseen_list: bool = True  # no list of machines has come in this term
     _listed_at: MonotonicTime = MonotonicTime(-math.inf)  # a list shows what was rented before
     _renting: bool = False
     _rentals: int = 0
@@ -150,8 +149,8 @@
 
     def _kept_to_listen(self, host: Host) -> bool:
         """In a lost zone, as long as the cloud still has it."""
-        known = self._unseen_list or host.id in self.listed or host.created_at > self._listed_at
-        return host.id in self.zones.watchers and known
+        listed = host.id in self.listed or host.created_at >= self._listed_at
+        return listed and host.id in self.zones.watchers
 
     async def _delete(self, hosts: list[HostId]) -> None:
         while True:
@@ -226,18 +225,14 @@
         demands = self.picture.demands(jobs, now)
         hold = self.settings.operator.capacity_retry_s
         refused = {offer for offer, at in self.refused.items() if now - at < hold}
-        if not self.settings.operator.spot_allowed:
-            refused |= {
-                Offer(kind.name, zone, True)
-                for kind in self.types.values()
-                for zone in kind.zones
-            }
+        spot_allowed = bool(self.settings.operator.spot_allowed)
+        closed = {zone for zone in self.settings.zones if not self.zones.may_rent(zone)}
         refused |= {
             Offer(kind.name, zone, spot)
             for kind in self.types.values()
             for zone in kind.zones
             for spot in (True, False)
-            if not self.zones.may_rent(zone)
+            if zone in closed or (spot and not spot_allowed)
         }
         decision = autoscaler.decide(
             self.types,
@@ -366,7 +361,6 @@
 
     def _take_list(self, found: list[Listed], asked: MonotonicTime) -> None:
         self.listed = {item.host: item for item in found}
-        self._unseen_list = False
         self._listed_at = MonotonicTime(asked - SURE_LAGS * self.settings.list_lag_s)
         for item in found:
             host = self.ledger.hosts.get(item.host)
@@ -384,14 +378,13 @@
         if not self.may_start():
             return
         lost: list[Host] = []
-        sure = SURE_LAGS * self.settings.list_lag_s
         for host in self.ledger.hosts.values():
             if (
                 host.id not in self.listed
                 and not host.known
                 and not host.deleting
                 and host.fed_at is None
-                and asked > host.created_at + sure
+                and host.created_at < self._listed_at
             ):
                 # Once listed, a machine stays listed until it is gone, and a list should
                 # not be older than twice its lag. But some are: only the answer to a delete
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -52,7 +52,7 @@
 STATE_LINKS, WATCH_LINKS, CLOUD_LINKS = 16, 2, 4
 PEER_SOCKETS = 16
 RUNNING_AGE_S = 1.0
-SERVED_S = 60.0  # between lines of the log on what is served
+SERVED_S = 60.0  # between lines of the log on what is served, and what was late
 ABSTAIN_S = 6.0
 MOST_PATIENCE = 16  # of terms in which no worker was heard: leadership must not go round
 RESERVED_SOCKETS = 64  # for the state service, the cloud and peers
@@ -220,6 +220,7 @@
             await asyncio.sleep(SERVED_S)
             if self.leader is not None:
                 log.info("served: %s", self.served.line())
+                log.info("late starts in this term: %s", self.leader.lateness.line())
 
     async def _fetch_types(self) -> None:
         while self.types is None:
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -51,7 +51,6 @@
 TICK_S = 0.5
 SCALE_S = 1.0
 LOG_S = 10.0
-LATE_LOG_S = 60
 PREEMPT_S = 0.5
 DEAF_REPORTS = 3.0
 # With many machines, some report within any second: silence is told from chance sooner.
@@ -537,8 +536,6 @@
             if now - logged_at >= LOG_S:
                 logged_at = now
                 self._log_fleet()
-                if int(now) % LATE_LOG_S < LOG_S:
-                    log.info("late starts in this term: %s", self.lateness.line())
 
     def _note_limits(self) -> None:
         for progress in self.progress.values():
--- a/dunehold/coordination/users/submissions.py
+++ b/dunehold/coordination/users/submissions.py
@@ -31,7 +31,6 @@
 MAX_PENDING = 2000
 RESERVE_SHARE = 1 / 3  # of the burst: packs begin while their first, dearer one can be paid
 MOST_ROWS = 512  # to a transaction, so that building it never keeps the loop for long
-VALUE_SHARE = 0.75  # of a value's size is filled; how the state service counts may differ
 
 
 @dataclass(slots=True)
@@ -81,7 +80,7 @@
 
     @property
     def _room(self) -> int:
-        return int(self.settings.value_bytes * VALUE_SHARE)
+        return records.value_room(self.settings.value_bytes)
 
     def too_large(self, spec: JobSpec, at: WallTime) -> bool:
         """No value of the state service could hold it."""
--- a/dunehold/coordination/zones/health.py
+++ b/dunehold/coordination/zones/health.py
@@ -18,9 +18,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import StrEnum
 
-from dunehold.types import MonotonicTime
+from dunehold.types import Condition, MonotonicTime
 
 SILENT_SHARE = 0.6  # of a kind's machines: so many silent at once, and the kind is
 TRUSTED_SHARE = 0.5  # of the machines there are heard: it is back
@@ -29,13 +28,6 @@
 MOST_FLAPS = 8
 
 
-class Condition(StrEnum):
-    WELL = "well"
-    DOUBTFUL = "doubtful"
-    LOST = "lost"
-    RETURNING = "returning"
-
-
 @dataclass(frozen=True, slots=True)
 class Kind:
     """Machines of one type, spot or not, that were up in a zone: all, and those heard."""
--- a/dunehold/coordination/zones/watch.py
+++ b/dunehold/coordination/zones/watch.py
@@ -14,10 +14,10 @@
 from dunehold.bookkeeping.hosts import NEVER_HEARD, Host
 from dunehold.bookkeeping.ledger import Ledger
 from dunehold.bookkeeping.records import ZoneRecord
-from dunehold.coordination.zones.health import Condition, Evidence, Kind, ZoneHealth
+from dunehold.coordination.zones.health import Evidence, Kind, ZoneHealth
 from dunehold.protocol.cloud import MachineType
 from dunehold.settings import Settings
-from dunehold.types import MANY, HostId, MonotonicTime, NodeId, TypeName, Zone
+from dunehold.types import MANY, Condition, HostId, MonotonicTime, NodeId, TypeName, Zone
 
 log = logging.getLogger(__name__)
 
@@ -58,9 +58,8 @@
         """Begin with what the leader before knew: it is not learnt by a wave of rentals."""
         for zone, record in found.items():
             if zone in self.zones:
-                condition = Condition(record.condition)
-                self.zones[zone].restore(condition, record.flaps, record.size, now)
-                log.info("zone %s is %s by record", zone, condition.value)
+                self.zones[zone].restore(record.condition, record.flaps, record.size, now)
+                log.info("zone %s is %s by record", zone, record.condition.value)
 
     # -- judging -------------------------------------------------------------------------
 
@@ -145,7 +144,7 @@
     def records(self) -> dict[Zone, ZoneRecord]:
         """What a next leader should begin with: nothing of zones that are and were well."""
         return {
-            zone: ZoneRecord(health.condition.value, health.flaps, health.size)
+            zone: ZoneRecord(health.condition, health.flaps, health.size)
             for zone, health in self.zones.items()
             if health.condition in (Condition.LOST, Condition.RETURNING) or health.flaps
         }
--- a/dunehold/types.py
+++ b/dunehold/types.py
@@ -115,6 +115,15 @@
         return self is not JobPhase.ACTIVE
 
 
+class Condition(StrEnum):
+    """Of a zone, as the leader judges it."""
+
+    WELL = "well"
+    DOUBTFUL = "doubtful"
+    LOST = "lost"
+    RETURNING = "returning"
+
+
 class TaskPhase(StrEnum):
     FETCHING = "fetching"
     WAITING = "waiting"
--- a/tests/test_zone_loss.py
+++ b/tests/test_zone_loss.py
@@ -12,11 +12,11 @@
 
 from dunehold.coordination.fleet.fleet import Fleet
 from dunehold.coordination.zones import watch
-from dunehold.coordination.zones.health import Condition
 from dunehold.coordination.zones.watch import ZoneWatch
 from dunehold.transport.http import Request
 from dunehold.types import (
     MANY,
+    Condition,
 )
 from tests import world as world_module
 from tests.test_rules import crashes, play
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -17,7 +17,7 @@
 from dunehold.coordination.picture.offers import Offer, demands_of
 from dunehold.coordination.picture.progress import JobProgress
 from dunehold.coordination.zones.evacuation import Urgency, urgency
-from dunehold.coordination.zones.health import Condition, Evidence, Kind, ZoneHealth
+from dunehold.coordination.zones.health import Evidence, Kind, ZoneHealth
 from dunehold.coordination.zones.shares import fair_shares
 from dunehold.coordination.zones.watch import ZoneWatch
 from dunehold.protocol.cloud import MachineType
@@ -28,6 +28,7 @@
     NO_ROOM,
     Attempt,
     AttemptId,
+    Condition,
     Duration,
     HostId,
     Image,
