A job that has ended is not accepted a second time by a node that had not heard of it

Found by hypothesis in the race of submissions: a record of its own and the end of another both name no pack, so the node took the end for its own acceptance. What has ended is known, and told as it is. The test fails without the change.

--- a/dunehold/coordination/users/submissions.py
+++ b/dunehold/coordination/users/submissions.py
@@ -150,7 +150,10 @@
         if not batch.read_back:
             return True
         record = self.view.jobs.get(job)
-        return record is not None and record.pack == batch.pack_of.get(job)
+        if record is None or record.phase.final:
+            # Its end says nothing of who wrote it: known, and its state is what it is.
+            return False
+        return record.pack == batch.pack_of.get(job)
 
     def _packed_changes(self) -> int:
         """The pending ones and one more like them."""
--- a/tests/test_packs.py
+++ b/tests/test_packs.py
@@ -533,3 +533,15 @@
     swarm = [job for job in world.made if job["uid"] >= "job-500000"]
     over = [job for job in swarm if job["uid"] in world.told]
     assert len(over) > 0.7 * len(swarm)
+
+
+def test_a_job_that_has_ended_is_not_accepted_a_second_time() -> None:
+    """At a node that had not heard of it, its end was taken for the end of its own record."""
+    races = Races()
+    races.begin()
+    races.submit_packed(who=0, jobs={1}, unit=1)
+    races.look(who=1)
+    races.submit_packed(who=0, jobs={1, 2}, unit=1)
+    races.end(who=0, jobs={1, 2})
+    races.submit_single(who=1, job=2, unit=1)
+    assert races.accepted == {"job-000001", "job-000002"}
