--- a/dunehold/emulator/agents/passages.py
+++ b/dunehold/emulator/agents/passages.py
@@ -13,8 +13,8 @@
     cuts: Cuts = field(default_factory=Cuts)
     _ended: asyncio.Event = field(default_factory=asyncio.Event)
 
-    def begin(self, a: str, b: str, mode: Mode) -> None:
-        self.cuts.begin(a, b, mode)
+    def begin(self, a: str, b: str, mode: Mode, one_way: bool = False) -> None:
+        self.cuts.begin(a, b, mode, one_way)
 
     def end(self, a: str, b: str) -> None:
         self.cuts.end(a, b)
@@ -28,8 +28,10 @@
         self._ended.set()
         self._ended = asyncio.Event()
 
-    async def for_a_while(self, a: str, b: str, mode: Mode | str, seconds: float) -> None:
-        self.begin(a, b, Mode(mode))
+    async def for_a_while(
+        self, a: str, b: str, mode: Mode | str, seconds: float, one_way: bool = False
+    ) -> None:
+        self.begin(a, b, Mode(mode), one_way)
         try:
             await asyncio.sleep(seconds)
         finally:
