--- a/dunehold/bookkeeping/hosts.py
+++ b/dunehold/bookkeeping/hosts.py
@@ -11,6 +11,7 @@
     HostId,
     Image,
     MonotonicTime,
+    OrderId,
     Room,
     Sequence,
     Session,
@@ -82,6 +83,8 @@
     up: bool = False
     boot_noted: bool = False  # that it came up in time, or did not
     draining: str | None = None
+    order: OrderId | None = None  # of operators, by which it runs empty
+    kept: bool = False  # stays rented by it, though nothing is on it
     deleting: bool = False
     notice_at: MonotonicTime | None = None
     runs: dict[AttemptId, Run] = field(default_factory=dict)
--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping.hosts import Exit, Host, Outcome, Run
@@ -30,6 +30,7 @@
     JobPhase,
     Kind,
     MonotonicTime,
+    OrderId,
     Room,
     TaskId,
     TaskPhase,
@@ -71,6 +72,8 @@
     done: dict[JobId, set[int]] = field(default_factory=dict)  # reported, maybe not durable
     gone: set[HostId] = field(default_factory=set)
     unseen: Unseen = field(default_factory=Unseen)  # what earlier leaders may have left
+    # The order by which a machine is out of service, as the view has it at this moment.
+    closed: Callable[[Host], OrderId | None] = lambda host: None
     relayed: dict[Zone, MonotonicTime] = field(default_factory=dict)  # fed till then at most
     _relay_changes: dict[Zone, int] = field(default_factory=dict)
     _zones: dict[JobId, dict[Zone, int]] = field(default_factory=dict)
@@ -317,6 +320,8 @@
             return "an earlier leader may have started it"
         if not host.known or host.draining is not None or host.deleting:
             return "machine is not usable"
+        if self.closed(host) is not None:
+            return "machine is out of service"
         if not host.recorded:
             return "machine is not on record"
         if not host_allowed(spec, host.type, host.zone, host.spot):
--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -39,6 +39,10 @@
 PACKING = PREFIX + "packing"  # whether packs of submissions may be written
 BROKEN = PREFIX + "broken"  # jobs that fail on every machine, for the next leader
 ZONES = PREFIX + "zones"  # those that are not well, for the next leader
+ORDERS = PREFIX + "orders/"  # of operators, one key each
+ORDERS_SERIAL = PREFIX + "orders-serial"  # raised with every change of an order
+UPKEEP = PREFIX + "upkeep/"  # how far the leader is with each order
+DISRUPTIONS = PREFIX + "disruptions"  # stopped by choice lately, for the next leader
 START_SLOTS = 256  # the log of starts is a ring of so many keys
 
 
--- a/dunehold/bookkeeping/view.py
+++ b/dunehold/bookkeeping/view.py
@@ -4,18 +4,22 @@
 
 import logging
 from dataclasses import dataclass, field
+from typing import Any
 
 from dunehold.bookkeeping import records
+from dunehold.bookkeeping.orders import Progress, decode_order, decode_progress
 from dunehold.bookkeeping.packs.rows import decode_accepted, decode_ended
 from dunehold.bookkeeping.packs.shelf import Shelf
 from dunehold.bookkeeping.records import HostRecord, JobRecord, LeaderRecord
 from dunehold.protocol.cloud import Rental
+from dunehold.protocol.operators import Order
 from dunehold.protocol.state import ABSENT, Change, Entry
 from dunehold.types import (
     HostId,
     JobId,
     JobPhase,
     NodeId,
+    OrderId,
     RentalId,
     Revision,
     Token,
@@ -33,6 +37,8 @@
     records.BROKEN,
     records.PACKING,
     records.ZONES,
+    records.UPKEEP,
+    records.DISRUPTIONS,
 )
 
 
@@ -56,6 +62,10 @@
     versions: dict[str, Revision] = field(default_factory=dict)
     broken: set[JobId] = field(default_factory=set)  # found to fail on every machine
     zones: dict[Zone, records.ZoneRecord] = field(default_factory=dict)  # not well
+    orders: dict[OrderId, Order] = field(default_factory=dict)  # of operators
+    upkeep: dict[OrderId, Progress] = field(default_factory=dict)
+    orders_serial: Revision = Revision(0)  # of the key that every change of an order raises
+    disruptions: Any = None  # as they are written; read by the leader alone
     orphan_marks: dict[JobId, dict[int, int]] = field(default_factory=dict)
     spent_marks: dict[JobId, None] = field(default_factory=dict)  # done, with marks still kept
     shelf: Shelf = field(default_factory=Shelf)
@@ -123,6 +133,18 @@
                 self.broken = set() if change.deleted else records.decode_broken(change.value)
             elif key == records.ZONES:
                 self.zones = {} if change.deleted else records.decode_zones(change.value)
+            elif key.startswith(records.ORDERS):
+                self._apply_order(OrderId(key[len(records.ORDERS) :]), change)
+            elif key == records.ORDERS_SERIAL:
+                self.orders_serial = Revision(0) if change.deleted else change.version
+            elif key.startswith(records.UPKEEP):
+                order = OrderId(key[len(records.UPKEEP) :])
+                if change.deleted:
+                    self.upkeep.pop(order, None)
+                else:
+                    self.upkeep[order] = decode_progress(change.value)
+            elif key == records.DISRUPTIONS:
+                self.disruptions = None if change.deleted else change.value
             elif key == records.PACKING:
                 self.packing = not change.deleted and bool(change.value)
             elif key == records.LEADER_KEY:
@@ -221,6 +243,12 @@
             self._note_marks(record)
         return [job]
 
+    def _apply_order(self, order: OrderId, change: Change) -> None:
+        if change.deleted:
+            self.orders.pop(order, None)
+        else:
+            self.orders[order] = decode_order(order, change.value, change.version)
+
     def _apply_relay(self, node: NodeId, change: Change) -> None:
         record = self.relays.pop(node, None)
         if not change.deleted:
--- a/dunehold/cli.py
+++ b/dunehold/cli.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from dunehold import operating
 from dunehold import settings as settings_module
 from dunehold.settings import Settings, SettingsError
 
@@ -56,6 +57,7 @@
         )
         command.add_argument("--timeout", type=float, default=5.0, help="seconds to wait")
     if emulator:
+        operating.add_parsers(commands)
         _add_emulator(commands)
     return parser
 
@@ -95,6 +97,8 @@
     )
     if options.command in EMULATOR_COMMANDS:
         return _emulator(options)
+    if options.command in operating.COMMANDS:
+        return operating.run(options)
     if options.command in ("serve", "check-config"):
         try:
             settings = _load(options)
--- a/dunehold/coordination/durable/recorder.py
+++ b/dunehold/coordination/durable/recorder.py
@@ -7,10 +7,12 @@
 import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
 from dunehold.bookkeeping import records
 from dunehold.bookkeeping.hosts import Run
 from dunehold.bookkeeping.ledger import Ledger
+from dunehold.bookkeeping.orders import Progress, encode_progress
 from dunehold.bookkeeping.records import HostRecord, JobRecord, ZoneRecord
 from dunehold.bookkeeping.view import VERSIONED, View
 from dunehold.coordination.durable.ends import Ends, Sweeper
@@ -19,7 +21,16 @@
 from dunehold.protocol.state import ABSENT, MAX_TXN_BYTES, Priority, StateClient, Txn
 from dunehold.settings import Settings
 from dunehold.transport.http import NoResponse
-from dunehold.types import AttemptId, HostId, JobId, RentalId, Revision, Token, Zone
+from dunehold.types import (
+    AttemptId,
+    HostId,
+    JobId,
+    OrderId,
+    RentalId,
+    Revision,
+    Token,
+    Zone,
+)
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +40,7 @@
 # and reports must stay short. One write holds thousands of marks.
 MANY_MARKS, SOON_MARKS_S = 200, 3.0
 MAX_PAGE_HOSTS = 500
+_MISSING: Any = object()
 
 
 class Deposed(Exception):
@@ -69,6 +81,10 @@
     starts: dict[AttemptId, Run] = field(default_factory=dict)
     new_broken: set[JobId] | None = None  # to be written
     new_zones: dict[Zone, ZoneRecord] | None = None  # to be written
+    upkeep: dict[OrderId, Progress | None] = field(default_factory=dict)  # None: to be deleted
+    _disruptions: Any = None  # as they are to be written
+    _disruptions_asked: int = 0  # how often there was more to write
+    _disruptions_written: int = 0
     ends: Ends = field(init=False)
     sweeper: Sweeper = field(init=False)
     _in_doubt: set[str] = field(default_factory=set)  # keys with a write that may come late
@@ -133,6 +149,22 @@
             self.new_zones = zones
             self._wake.set()
 
+    def order(self, order: OrderId, progress: Progress | None) -> None:
+        """How far the leader is with an order; None: nothing is kept of it any more."""
+        self.upkeep[order] = progress
+        self._wake.set()
+
+    async def record_disruptions(self, value: Any) -> None:
+        """Return once it is durable what is about to be stopped by choice: a next leader must
+        not spend the same budget again. A newer value holds what an older one did."""
+        self._disruptions = value
+        self._disruptions_asked += 1
+        mine = self._disruptions_asked
+        self._wake.set()
+        while self._disruptions_written < mine:
+            self._written.clear()
+            await self._written.wait()
+
     def end_rental(self, rental: RentalId) -> None:
         self.ended_rentals[rental] = None
         self._wake.set()
@@ -174,6 +206,8 @@
             or self.ended_rentals
             or self.new_broken is not None
             or self.new_zones is not None
+            or self._disruptions_written < self._disruptions_asked
+            or self.upkeep
         )
 
     async def _flush(self) -> None:
@@ -200,6 +234,10 @@
         zones = self.new_zones
         if zones is not None and txn.size < limit:
             txn.puts[records.ZONES] = records.encode_zones(zones)
+        asked = self._disruptions_asked
+        if self._disruptions_written < asked and txn.size < limit:
+            txn.puts[records.DISRUPTIONS] = self._disruptions
+        upkeep = self._order_changes(txn, limit)
         jobs = []
         for job in list(self.dirty_jobs):
             if txn.size >= limit:
@@ -239,6 +277,11 @@
             self.new_broken = None
         if records.ZONES in txn.puts and self.new_zones is zones:
             self.new_zones = None
+        if records.DISRUPTIONS in txn.puts:
+            self._disruptions_written = asked
+        for order, progress in upkeep.items():
+            if self.upkeep.get(order, _MISSING) is progress:
+                del self.upkeep[order]
         for host_id in hosts:
             # What changed while this was under way is still to be written.
             if self._wanted_host(host_id) == self.view.hosts.get(host_id):
@@ -250,6 +293,25 @@
         self._written.set()
         self.on_written()
 
+    def _order_changes(self, txn: Txn, limit: int) -> dict[OrderId, Progress | None]:
+        """As many as fit; an order that has ended goes with what is kept of it."""
+        taken: dict[OrderId, Progress | None] = {}
+        for order, progress in self.upkeep.items():
+            if txn.size + 2 > limit:
+                break
+            taken[order] = progress
+            if progress is not None:
+                txn.puts[records.UPKEEP + order] = encode_progress(progress)
+                continue
+            known = self.view.orders.get(order)
+            if known is not None:
+                # Whatever an operator said of it meanwhile stands against this.
+                txn.guards[records.ORDERS + order] = known.version
+                txn.deletes.add(records.ORDERS + order)
+            if order in self.view.upkeep:
+                txn.deletes.add(records.UPKEEP + order)
+        return taken
+
     # -- starts ----------------------------------------------------------------------
 
     @staticmethod
--- a/dunehold/coordination/fleet/fleet.py
+++ b/dunehold/coordination/fleet/fleet.py
@@ -34,7 +34,16 @@
 from dunehold.protocol.codec import BadMessage
 from dunehold.settings import Settings
 from dunehold.transport.http import NoResponse
-from dunehold.types import HostId, JobId, MonotonicTime, RentalId, Token, TypeName, Zone
+from dunehold.types import (
+    HostId,
+    JobId,
+    MonotonicTime,
+    OrderId,
+    RentalId,
+    Token,
+    TypeName,
+    Zone,
+)
 
 log = logging.getLogger(__name__)
 
@@ -69,6 +78,9 @@
     refused: dict[Offer, MonotonicTime] = field(default_factory=dict)
     boots: dict[Offer, deque[tuple[MonotonicTime, bool]]] = field(default_factory=dict)
     late: set[HostId] = field(default_factory=set)  # that should be up by now
+    extra: dict[OrderId, list[Rent]] = field(default_factory=dict)  # wanted for orders
+    keeps: Callable[[HostId], bool] = lambda host: False  # not returned for being idle
+    closed_offers: Callable[[], set[Offer]] = set  # nothing of these is rented
     listed: dict[HostId, Listed] = field(default_factory=dict)
     silent_since: MonotonicTime = MonotonicTime(-math.inf)  # nobody heard any machine then
     _listed_at: MonotonicTime = MonotonicTime(-math.inf)  # a list shows what was rented before
@@ -139,7 +151,7 @@
             return None
         if host.quarantined_at is not None and now - host.quarantined_at < QUARANTINE_S:
             return None  # what failed there may yet turn out to fail everywhere
-        return None if host.busy else host.draining
+        return None if host.busy or host.kept else host.draining
 
     def _silent(self, host: Host, now: MonotonicTime) -> str | None:
         """Machines beyond a cut that work on are kept, and a few to tell of its end."""
@@ -234,6 +246,7 @@
             for spot in (True, False)
             if zone in closed or (spot and not spot_allowed)
         }
+        refused |= self.closed_offers()
         decision = autoscaler.decide(
             self.types,
             [
@@ -247,15 +260,22 @@
             self.picture.kept_cpus(demands, now),
             self.settings.operator.idle_return_s,
         )
-        wanted = self._probes(now) + self._within_steps(decision.rent)
+        extra = [rent for rents in self.extra.values() for rent in rents]
+        self.extra.clear()
+        wanted = self._probes(now) + self._within_steps(decision.rent + extra)
         if wanted:
             self._renting = True
             self.spawn(self._rent_all(wanted))
         for host_id in decision.give_back:
             host = self.ledger.hosts[host_id]
-            if host.draining is None:
+            if host.draining is None and not self.keeps(host_id):
                 host.draining = "not needed"
 
+    def lately_refused(self, offer: Offer, now: MonotonicTime) -> bool:
+        """The cloud had no more of it when it was last asked."""
+        at = self.refused.get(offer)
+        return at is not None and now - at < self.settings.operator.capacity_retry_s
+
     def _within_steps(self, wanted: list[Rent]) -> list[Rent]:
         """A zone that is back is filled in steps until it is trusted."""
         left: dict[Zone, int] = {}
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -19,6 +19,7 @@
 from dunehold.coordination.election.sight import PEER_TIMEOUT_S, Sight
 from dunehold.coordination.picture.estimates import Estimates
 from dunehold.coordination.term.leader import DIRECT_SOCKET_SHARE, Leader
+from dunehold.coordination.upkeep.desk import Desk, Live
 from dunehold.coordination.users.intake import Intake
 from dunehold.coordination.users.served import Served
 from dunehold.coordination.users.submissions import Submissions
@@ -51,6 +52,7 @@
 
 STATE_LINKS, WATCH_LINKS, CLOUD_LINKS = 16, 2, 4
 PEER_SOCKETS = 16
+OPERATOR_SOCKETS = 8
 RUNNING_AGE_S = 1.0
 SERVED_S = 60.0  # between lines of the log on what is served, and what was late
 ABSTAIN_S = 6.0
@@ -94,7 +96,9 @@
     relay: Relay = field(init=False)
     sight: Sight = field(init=False)
     served: Served = field(init=False)
+    desk: Desk = field(init=False)
     estimates: Estimates = field(default_factory=Estimates)
+    _orders_seen: Revision = Revision(0)  # the serial that the leader was told of last
     _running_counts: dict[JobId, int] = field(default_factory=dict)
     _running_at: MonotonicTime = MonotonicTime(-1e9)
     _abstain_until: MonotonicTime = MonotonicTime(-1e9)  # others should lead, if they can
@@ -127,6 +131,15 @@
         )
         self.sight = Sight(settings, self.sync, self.connect, self._passed_by)
         self.served = Served(settings, self.view, self.wall)
+        self.desk = Desk(
+            settings,
+            self.state,
+            self.view,
+            self.sync,
+            lambda: self.types,
+            self._upkeep,
+            self.wall,
+        )
         self.relay = Relay(
             settings,
             self.state,
@@ -185,6 +198,9 @@
         await server.start(settings.listen.host, settings.listen.port)
         peer_server = HttpServer(self.handle_peer, PEER_SOCKETS)
         await peer_server.start(settings.peer_listen.host, settings.peer_listen.port)
+        if settings.operator.operator_port:
+            door = HttpServer(self.handle_operator, OPERATOR_SOCKETS)
+            await door.start(settings.peer_listen.host, settings.operator.operator_port)
         log.info(
             "node %s listens on %s:%d",
             settings.node,
@@ -275,8 +291,28 @@
             return Response(200, peers.encode_sight(self.sight.own()))
         if request.path == peers.SERVED_PATH:
             return Response(200, codec.dump(self.served.picture()))
+        if request.path == peers.UPKEEP_PATH and self.leader is not None:
+            status = self.leader.care.status()
+            return Response(200, peers.encode_upkeep(self.view.applied, status))
         return Response(404)
 
+    async def handle_operator(self, request: Request) -> Response:
+        return await self.desk.handle(request)
+
+    async def _upkeep(self) -> Live | None:
+        """The leader's word on the orders, or None where it can't be had now."""
+        if self.leader is not None:
+            return self.view.applied, self.leader.care.status()
+        known = self.view.leader
+        client = None if known is None else self.sight.client(known.node)
+        if client is None:
+            return None
+        try:
+            return await peers.get_upkeep(client, PEER_TIMEOUT_S)
+        except (NoResponse, BadMessage) as error:
+            log.debug("orders: %s", error)
+            return None
+
     def _passed_by(self) -> None:
         if self.leader is not None and self.now() >= self.lease_until:
             self._step_down("others are served, and may lead by now")
@@ -312,6 +348,9 @@
             self._step_down("the leader key is another's or gone")
         if self.leader is not None:
             self.leader.jobs_changed(touched)
+            if self._orders_seen != self.view.orders_serial:
+                self._orders_seen = self.view.orders_serial
+                self.leader.orders_changed()
         elif self._vacant():
             self._election.set()
 
@@ -431,6 +470,7 @@
             self.connect,
             self.wall,
             self.sight.reaches,
+            self.served.in_time,
             float(min(2**self._deaf_terms, MOST_PATIENCE)),
         )
         log.info(
--- a/dunehold/coordination/picture/picture.py
+++ b/dunehold/coordination/picture/picture.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -87,6 +88,9 @@
     burst: float = 0.0  # CPUs that one job of a higher rank asked for lately
     burst_at: MonotonicTime = MonotonicTime(0.0)
     guaranteed: set[JobId] | None = None  # None: to be counted anew
+    # When an order takes the machine out of service; infinite if none is known to.
+    closes_at: Callable[[Host, MonotonicTime], float] = lambda host, now: math.inf
+    spared: Callable[[], frozenset[Team]] = frozenset  # nothing of theirs is stopped by choice
     put_off: dict[JobId, int] = field(default_factory=dict)  # aims given up for others' sake
     _states: dict[HostId, _Pictured] = field(default_factory=dict)
     _fastest_gb_per_s: float = field(init=False)  # asked for with every entry of every plan
@@ -146,6 +150,7 @@
             now=now,
             scarcity=self.scarcity,
             reserve_cpus=self.reserve_cpus(now),
+            spared=self.spared(),
             borrowed=lambda: guarantees.borrowed(
                 self.settings, self.ledger, self.guaranteed or ()
             ),
@@ -384,6 +389,7 @@
                 for run in host.runs.values()
                 if run.phase is TaskPhase.FETCHING and run.image not in cached
             ),
+            closes_at=self.closes_at(host, now),
         )
         return _Pictured(host, host.version, until, state)
 
--- a/dunehold/coordination/scheduler/clearing.py
+++ b/dunehold/coordination/scheduler/clearing.py
@@ -39,6 +39,8 @@
         """Lower priority, or borrowed room that a team needs for its guarantee."""
         if run.stopping or run.gang or run.id.attempt == PLANNED:
             return False
+        if run.team in self.snapshot.spared:
+            return False
         if run.rank < below:
             return True
         return (
@@ -138,7 +140,7 @@
                 break
             if run.stopping:
                 free = free.plus(run.need)
-            elif run.tier is Tier.BACKGROUND:
+            elif run.tier is Tier.BACKGROUND and run.team not in self.snapshot.spared:
                 free = free.plus(run.need)
                 victims.append(run)
         if free.holds(entry.need):
--- a/dunehold/coordination/scheduler/floor.py
+++ b/dunehold/coordination/scheduler/floor.py
@@ -163,8 +163,14 @@
     def _fits_now(self, entry: Entry, host: HostState) -> bool:
         if host.slowness > 1.0 and entry.patience_s < (host.slowness - 1.0) * entry.run_s:
             return False  # it would miss an aim there that it can still meet
+        if host.closes_at < NEVER and self._closes(entry, host):
+            return False
         return self._unclaimed(host).holds(entry.need) and self._suits(entry, host)
 
+    def _closes(self, entry: Entry, host: HostState) -> bool:
+        """The machine goes out of service before a task begun now could end there."""
+        return self.now + entry.lasts_s + fetch_s(entry, host) > host.closes_at
+
     @staticmethod
     def _suits(entry: Entry, host: HostState) -> bool:
         if not entry.allowed(host):
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -227,7 +227,7 @@
         picky = bool(entry.zone_limit or entry.one_zone)
         for host in hosts:
             if not self._fits_now(entry, host):
-                picky = picky or host.slowness > 1.0
+                picky = picky or host.slowness > 1.0 or host.closes_at < NEVER
                 continue
             if host.id in self.reserved:
                 if not self._backfills(entry, host):
@@ -282,6 +282,8 @@
             for host in group.hosts.values():
                 if not self._suits(entry, host):
                     continue
+                if host.closes_at < NEVER and self._closes(entry, host):
+                    continue
                 hold = self.reserved.get(host.id)
                 # On a machine that is promised already it fits once both fit.
                 need = entry.need if hold is None else entry.need.plus(hold.need)
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -60,6 +60,9 @@
     penalty_s: float = 0.0  # for machines under suspicion
     slowness: float = 1.0  # times that a task takes there what it takes elsewhere
     fetching: frozenset[Image] = frozenset()  # these share its rate
+    closes_at: float = (
+        math.inf
+    )  # out of service from then on: nothing is begun that lasts longer
     background: bool = False  # some run is in the background tier
     first_end: float = 0.0  # no foreground run ends before it
     lowest: Rank = Rank.PRODUCTION  # of the runs on it
@@ -162,6 +165,7 @@
     scarcity: dict[MachineKind, float] = field(default_factory=dict)  # other work needs it
     reserve_cpus: float = 0.0  # that work of the lowest rank leaves free
     borrowed: Callable[[], set[AttemptId]] = set  # runs beyond their teams' guarantees
+    spared: frozenset[Team] = frozenset()  # nothing of theirs may be stopped just now
 
 
 @dataclass(frozen=True, slots=True)
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -19,10 +19,11 @@
 from dunehold.coordination.picture.picture import Picture, silent_after_s
 from dunehold.coordination.picture.progress import JobProgress
 from dunehold.coordination.scheduler.measy import plan
-from dunehold.coordination.scheduler.model import Plan, Policy, Reservation
+from dunehold.coordination.scheduler.model import Plan, Policy, Reservation, Stop
 from dunehold.coordination.term.delivery import Delivery
 from dunehold.coordination.term.judge import Judge
 from dunehold.coordination.term.lateness import Lateness
+from dunehold.coordination.upkeep.care import Care
 from dunehold.coordination.zones.watch import ZoneWatch
 from dunehold.protocol import workers
 from dunehold.protocol.cloud import CloudClient, MachineType
@@ -39,6 +40,7 @@
     MonotonicTime,
     NodeId,
     TaskId,
+    Team,
     Tier,
     Token,
     TypeName,
@@ -81,6 +83,7 @@
     connect: Connect
     wall: Callable[[], float]
     reaches: Callable[[NodeId], Awaitable[bool]]
+    in_time: Callable[[], dict[Team, tuple[int, int]]]
     patience: float = 1.0  # times the usual, after terms in which no worker was heard
     progress: dict[JobId, JobProgress] = field(default_factory=dict)
     held: list[Reservation] = field(default_factory=list)
@@ -91,6 +94,7 @@
     judge: Judge = field(init=False)
     zones: ZoneWatch = field(init=False)
     lateness: Lateness = field(init=False)
+    care: Care = field(init=False)
     _dirty: bool = True
     _planned_at: MonotonicTime = MonotonicTime(-1e9)
     _plan_gap_s: float = 0.0
@@ -149,6 +153,29 @@
             self.zones,
         )
 
+        self.care = Care(
+            self.settings,
+            self.view,
+            self.ledger,
+            self.recorder,
+            self.types,
+            self.estimates,
+            self.picture,
+            self.zones,
+            self.fleet,
+            self.may_start,
+            self.wall,
+            self.spawn,
+            self._stop_by_choice,
+            self._requeue,
+            self.in_time,
+            self._waiting_cpus,
+        )
+        self.fleet.keeps = self.care.keeps
+        self.fleet.closed_offers = self.care.closed_offers
+        self.picture.closes_at = self.care.closes_at
+        self.picture.spared = self.care.spared
+
     # -- life --------------------------------------------------------------------------
 
     def start(self) -> None:
@@ -158,6 +185,7 @@
         for job in list(self.view.active):
             self._take_up(job)
         self.zones.restore(self.view.zones, now)
+        self.care.restore(now)
         self.health.known_broken(self.view.broken & self.view.active.keys(), now)
         self.spawn(self.recorder.run())
         self.spawn(self._tick())
@@ -209,10 +237,15 @@
                 log.info("job %s is %s", job, record.phase.value)
                 self.ledger.done.pop(job, None)
                 self.health.forget_job(job)
+                self.care.disruptions.over(job)
         if touched:
             self.picture.guaranteed = None
             self.make_dirty()
 
+    def orders_changed(self) -> None:
+        self.care.orders_changed()
+        self.make_dirty()
+
     def _take_up(self, job: JobId) -> None:
         record = self.view.active[job]
         if record.spec is not None:
@@ -282,6 +315,7 @@
 
     def _began(self, run: Run) -> None:
         job = run.id.task.job
+        self.care.disruptions.restored(run.id.task)
         progress, record = self.progress.get(job), self.view.active.get(job)
         if progress is None or record is None:
             return
@@ -292,6 +326,7 @@
             self.lateness.began(run, progress, limit, self.wall() - record.accepted_at)
 
     def _lost(self, runs: list[Run]) -> None:
+        self.care.lost(runs, self.now())
         for run in runs:
             log.info("attempt %s on %s is gone", run.id, run.host)
             self._requeue(run.id.task)
@@ -313,6 +348,7 @@
                 continue
             saves = spec.checkpoint_s > 0 and now + spec.save_s < taken_at
             log.info("stop %s on %s: the machine is taken back", run.id, host.id)
+            self.care.lost([run], now)
             self.ledger.stop(run, spec.save_s if saves else Duration(0.0))
             if run.id not in host.runs:
                 self._requeue(run.id.task)
@@ -329,6 +365,7 @@
         progress = self.progress.get(job)
         log.info("attempt %s on %s exited: %s", run.id, host.id, exit_.why.value)
         if exit_.why is Why.DONE:
+            self.care.disruptions.restored(run.id.task)
             if progress is not None:
                 self.judge.rejudge({host.id, *self.health.completed(job, host.id)}, self.now())
                 if run.duration_s is not None and not run.adopted:
@@ -413,20 +450,7 @@
         )
 
     def _carry_out(self, decided: Plan, now: MonotonicTime) -> None:
-        touched: dict[HostId, None] = {}
-        for stop in decided.stops:
-            host = self.ledger.hosts.get(stop.host)
-            run = host.runs.get(stop.attempt) if host is not None else None
-            if host is None or run is None:
-                continue
-            record = self.view.jobs.get(run.id.task.job)
-            save = stop.save and record is not None and record.spec is not None
-            grace = record.spec.save_s if save and record and record.spec else 0.0
-            log.info("stop %s on %s: %s", run.id, host.id, stop.reason)
-            self.ledger.stop(run, Duration(grace))
-            if run.id not in host.runs:
-                self._requeue(run.id.task)
-            touched[host.id] = None
+        self._stop_planned(decided.stops, now)
         for attempt in decided.lifts:
             for run in self.ledger.present.get(attempt.task, ()):
                 if run.id == attempt:
@@ -455,8 +479,31 @@
                 start.tier.name.lower(),
             )
             self.recorder.log_start(made)
-        for host_id in touched:
-            self.delivery.talk(host_id)
+
+    def _stop_planned(self, stops: list[Stop], now: MonotonicTime) -> None:
+        wanted = []
+        for stop in stops:
+            host = self.ledger.hosts.get(stop.host)
+            run = host.runs.get(stop.attempt) if host is not None else None
+            if run is None:
+                continue
+            record = self.view.jobs.get(run.id.task.job)
+            save = stop.save and record is not None and record.spec is not None
+            grace = record.spec.save_s if save and record and record.spec else 0.0
+            wanted.append((run, Duration(grace), stop.reason))
+        if self.care.binds:
+            self.care.grant(wanted, now)
+            return
+        for run, grace_s, reason in wanted:
+            log.info("stop %s on %s: %s", run.id, run.host, reason)
+            self._stop_by_choice(run, grace_s)
+
+    def _stop_by_choice(self, run: Run, grace: Duration) -> None:
+        self.ledger.stop(run, grace)
+        host = self.ledger.hosts.get(run.host)
+        if host is None or run.id not in host.runs:
+            self._requeue(run.id.task)  # it was never sent
+        self.delivery.talk(run.host)
 
     def starts_logged(self, hosts: Iterable[HostId]) -> None:
         for host_id in hosts:
@@ -482,17 +529,19 @@
 
     # -- time ----------------------------------------------------------------------------
 
+    def _waiting_cpus(self) -> float:
+        return sum(len(p.waiting) * p.spec.need.cpus for p in self.progress.values())
+
     def _log_fleet(self) -> None:
         hosts = [h for h in self.ledger.hosts.values() if not h.fenced]
         up = [h for h in hosts if h.known]
-        waiting = sum(len(p.waiting) * p.spec.need.cpus for p in self.progress.values())
         log.info(
             "fleet: %d of %d machines up, %g cpus, %g used, %g waited for, %d jobs",
             len(up),
             len(hosts),
             sum(h.room.cpus for h in up),
             sum(h.used.cpus for h in up),
-            waiting,
+            self._waiting_cpus(),
             len(self.progress),
         )
 
@@ -518,6 +567,7 @@
                     self.picture.look_again(zone)
             self._lost(self.ledger.expire(min(now, self.proved_at())))
             self._check_known()
+            self.care.step(now)
             self.fleet.look_after(now, self.attentive_since)
             self.fleet.note_boots(now)
             for host in self.ledger.hosts.values():
--- /dev/null
+++ b/dunehold/coordination/upkeep/__init__.py
@@ -0,0 +1,1 @@
+"""Orders of operators: machines taken out of service and replaced, within budgets."""
--- /dev/null
+++ b/dunehold/coordination/upkeep/care.py
@@ -0,0 +1,666 @@
+"""The leader's care for operators' orders: what is out of service, stopped, and done next.
+
+The view says what is ordered; the ledger asks ``closed`` before every start, so that nothing is
+begun on a machine from the moment at which this node's view has the order. Stops by choice are
+written down before they are commanded. Steps follow from what is durable and what is there.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from dunehold.bookkeeping import records
+from dunehold.bookkeeping.disruptions import Disruptions, Hit, Whole
+from dunehold.bookkeeping.hosts import Host, Run
+from dunehold.bookkeeping.ledger import Ledger, host_allowed
+from dunehold.bookkeeping.orders import Progress, Sort, Stage
+from dunehold.bookkeeping.view import View
+from dunehold.coordination.durable.recorder import Recorder
+from dunehold.coordination.fleet.autoscaler import Rent
+from dunehold.coordination.fleet.fleet import LATE_BOOTS, Fleet
+from dunehold.coordination.picture.estimates import Estimates
+from dunehold.coordination.picture.offers import Offer
+from dunehold.coordination.picture.picture import Picture
+from dunehold.coordination.upkeep import draining, scope, steps
+from dunehold.coordination.upkeep.draining import Aboard
+from dunehold.coordination.zones.watch import ZoneWatch
+from dunehold.protocol import codec
+from dunehold.protocol.cloud import MachineType
+from dunehold.protocol.codec import BadMessage
+from dunehold.protocol.operators import Order, OrderKind, Wish
+from dunehold.protocol.users import JobSpec
+from dunehold.settings import Settings
+from dunehold.types import (
+    AttemptId,
+    Condition,
+    Duration,
+    HostId,
+    JobId,
+    Kind,
+    MonotonicTime,
+    OrderId,
+    TaskId,
+    TaskPhase,
+    Team,
+    TypeName,
+    WallTime,
+)
+
+log = logging.getLogger(__name__)
+
+KEPT_ORDERS = 30  # that have ended, for operators to look at
+SLOW = 1.3  # times what others take: a fresh machine that is slower is bad
+HELD_UP_SHOWN = 5
+DRAINED = "its machine is to run empty"
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """Attempts that are stopped together; without ``grace``, those that save get time to."""
+
+    attempts: tuple[AttemptId, ...]
+    hit: Hit
+    reason: str
+    grace: Duration | None = None
+
+
+@dataclass(slots=True)
+class Care:
+    settings: Settings
+    view: View
+    ledger: Ledger
+    recorder: Recorder
+    types: dict[TypeName, MachineType]
+    estimates: Estimates
+    picture: Picture
+    zones: ZoneWatch
+    fleet: Fleet
+    may_start: Callable[[], bool]
+    wall: Callable[[], float]
+    spawn: Callable[[Coroutine[Any, Any, None]], None]
+    stop: Callable[[Run, Duration], None]  # and place its task anew where it was never sent
+    requeue: Callable[[TaskId], None]
+    in_time: Callable[[], dict[Team, tuple[int, int]]]  # done in time, of those with an aim
+    waiting_cpus: Callable[[], float]
+    disruptions: Disruptions = field(init=False)
+    _newest: dict[OrderId, Progress] = field(default_factory=dict)  # decided, maybe not durable
+    _held_up: dict[OrderId, list[str]] = field(default_factory=dict)
+    _before: dict[OrderId, dict[Team, tuple[int, int]]] = field(default_factory=dict)
+    _late: dict[OrderId, int] = field(default_factory=dict)
+    _failed: dict[OrderId, dict[HostId, Sort]] = field(default_factory=dict)  # fresh ones
+    _marked: bool = False  # some machine is out of service by an order
+    _spending: int = 0  # stops that are being written down
+
+    def __post_init__(self) -> None:
+        self.disruptions = Disruptions(self.settings.operator.disruption)
+        self.ledger.closed = self.closed
+
+    # -- what is out of service ------------------------------------------------------------
+
+    def progress(self, order: OrderId) -> Progress:
+        return self._newest.get(order) or self.view.upkeep.get(order, scope.NOT_BEGUN)
+
+    def closed(self, host: Host) -> OrderId | None:
+        """The order that keeps this machine out of service now, if any does."""
+        if not self.view.orders:
+            return None
+        wall = WallTime(self.wall())
+        for order in self.view.orders.values():
+            if scope.closed(order, self.progress(order.id), host, wall):
+                return order.id
+        return None
+
+    def closes_at(self, host: Host, now: MonotonicTime) -> float:
+        """When a maintenance window that is known takes the machine; infinite if none does."""
+        found = math.inf
+        wall = self.wall()
+        for order in self.view.orders.values():
+            begins = order.begins_at
+            if (
+                begins is not None
+                and begins > wall
+                and order.wish is not Wish.ABORT
+                and order.kind is OrderKind.DRAIN
+                and scope.means(order, self.progress(order.id), host)
+            ):
+                found = min(found, now + begins - wall)
+        return found
+
+    def closed_offers(self) -> set[Offer]:
+        """Kinds of which nothing is rented: all that there is of them is out of service."""
+        wall = WallTime(self.wall())
+        drains = [
+            order
+            for order in self.view.orders.values()
+            if order.kind is OrderKind.DRAIN
+            and scope.in_force(order, self.progress(order.id), wall)
+        ]
+        return {
+            Offer(kind.name, zone, spot)
+            for kind in self.types.values()
+            for zone in kind.zones
+            for spot in (True, False)
+            if any(order.selection.whole(kind.name, zone, spot) for order in drains)
+        }
+
+    def keeps(self, host: HostId) -> bool:
+        """Rented for a replacement, and so not returned for being idle."""
+        for order in self.view.orders.values():
+            progress = self.progress(order.id)
+            if (
+                order.kind is OrderKind.REPLACE
+                and order.wish is not Wish.ABORT
+                and not progress.stage.final
+                and progress.mark is not None
+                and host > progress.mark
+            ):
+                return True
+        return False
+
+    def mark(self) -> None:
+        """Bring the machines in line with the orders as the view has them now.
+
+        Starts that nobody can have carried out are taken back: guards against one that was
+        planned just before its machine was ordered out.
+        """
+        if not self.view.orders and not self._marked:
+            return
+        self._marked = False
+        for host in self.ledger.hosts.values():
+            order = self.closed(host)
+            self._marked = self._marked or order is not None
+            if order == host.order:
+                continue
+            log.info("host %s: %s", host.id, f"order {order}" if order else "in service again")
+            if order is None:
+                if host.draining == f"order {host.order}":
+                    host.draining = None
+                host.kept = False
+            else:
+                if host.draining is None or host.draining == f"order {host.order}":
+                    host.draining = f"order {order}"
+                host.kept = self.view.orders[order].keep
+                for run in [run for run in host.runs.values() if run.unsent]:
+                    if self.ledger.withdraw(run):
+                        self.requeue(run.id.task)
+            host.order = order
+            host.version += 1
+
+    # -- a leader's life -------------------------------------------------------------------
+
+    def restore(self, now: MonotonicTime) -> None:
+        """What the leader before spent is spent, for a window from now at least."""
+        try:
+            self.disruptions.restore(self.view.disruptions, now, WallTime(self.wall()))
+        except (BadMessage, ValueError, TypeError) as error:
+            # Unknown means spent: nothing by choice until the longest window is over.
+            log.error("disruptions are not readable: %s", error)
+            for team in self.settings.teams:
+                budget = self.settings.operator.disruption.of(team)
+                hit = Hit(team, JobId(""), 1_000_000, 1e12)
+                self.disruptions.note(hit, TaskId(JobId(""), 0), now, choice=False)
+                log.info("team %s: nothing by choice for %g s", team, budget.window_s)
+        self.mark()
+
+    def orders_changed(self) -> None:
+        """An operator said something that this node's view has now."""
+        for order in (*self._held_up, *self._before, *self._late, *self._failed):
+            if order not in self.view.orders:
+                self._forget(order)
+        if any(order.begins_at is not None for order in self.view.orders.values()):
+            for host in self.ledger.hosts.values():
+                host.version += 1  # a window may have come or gone: it is pictured anew
+        self.mark()
+
+    def _forget(self, order: OrderId) -> None:
+        self.fleet.extra.pop(order, None)
+        for kept in (self._held_up, self._before, self._late, self._failed):
+            kept.pop(order, None)
+
+    def step(self, now: MonotonicTime) -> None:
+        self.disruptions.step(now)
+        if not self.may_start():
+            return
+        for name, progress in list(self._newest.items()):
+            if name not in self.view.orders or progress == self.view.upkeep.get(name):
+                del self._newest[name]
+        wall = WallTime(self.wall())
+        for order in list(self.view.orders.values()):
+            self._advance(order, now, wall)
+        self.mark()
+        self._empty(now, wall)
+        self._tidy()
+
+    # -- steps -----------------------------------------------------------------------------
+
+    def _advance(self, order: Order, now: MonotonicTime, wall: WallTime) -> None:
+        progress = self.progress(order.id)
+        if progress.stage.final:
+            if order.wish is Wish.ABORT and progress.stage is not Stage.ABORTED:
+                return  # it had ended before
+            return
+        if order.wish is Wish.ABORT:
+            self._decide(order, replace(progress, stage=Stage.ABORTED, hands=(), since=wall))
+            return
+        if order.begins_at is not None and wall < order.begins_at:
+            self._held_up[order.id] = [f"begins in {order.begins_at - wall:.0f} s"]
+            return
+        if progress.stage is Stage.NEW and progress.mark is None:
+            mark = self._take_up(order, now)
+            if mark is None:
+                self._held_up[order.id] = ["the machines' ages are not listed yet"]
+                return
+            stage = Stage.NEW if order.kind is OrderKind.REPLACE else Stage.DRAINING
+            progress = replace(progress, mark=mark, stage=stage, since=wall)
+            self._decide(order, progress)
+        if order.kind is OrderKind.DRAIN:
+            self._advance_drain(order, progress, wall)
+        elif self.view.upkeep.get(order.id) == progress:
+            # Nothing is rented or taken by what a next leader would not know of.
+            self._advance_replacement(order, progress, now, wall)
+
+    def _take_up(self, order: Order, now: MonotonicTime) -> HostId | None:
+        """The last machine that is meant. Ages are by the cloud's list."""
+        names = set(self.ledger.hosts)
+        older = order.selection.older_s
+        if older is None:
+            return scope.newest(names) or HostId("-")  # before any name of a machine
+        if not self.fleet.listed:
+            return None
+        old = [item.host for item in self.fleet.listed.values() if item.age_s > older]
+        return scope.newest(old) or HostId("-")
+
+    def _decide(self, order: Order, progress: Progress) -> None:
+        if progress != self.progress(order.id):
+            log.info(
+                "order %s: %s, wave %d of %d machines, %d done%s",
+                order.id,
+                progress.stage.value,
+                progress.wave,
+                progress.size,
+                progress.done,
+                f": {progress.why}" if progress.why else "",
+            )
+        self._newest[order.id] = progress
+        self.recorder.order(order.id, progress)
+
+    def _meant(self, order: Order, progress: Progress) -> list[Host]:
+        return [h for h in self.ledger.hosts.values() if scope.means(order, progress, h)]
+
+    def _advance_drain(self, order: Order, progress: Progress, wall: WallTime) -> None:
+        left = self._meant(order, progress)
+        busy = sum(host.busy or not host.known for host in left)
+        lasting = not scope.marked(order) and not order.selection.hosts
+        if not left and not lasting and not order.keep:
+            self._decide(order, replace(progress, stage=Stage.DONE, since=wall, why=""))
+            return
+        if busy:
+            self._held_up.setdefault(order.id, [f"{busy} machines are not empty yet"])
+        else:
+            self._held_up[order.id] = ["empty; out of service until it is undrained"]
+
+    def _advance_replacement(
+        self, order: Order, progress: Progress, now: MonotonicTime, wall: WallTime
+    ) -> None:
+        if order.wish is Wish.PAUSE:
+            self._held_up[order.id] = ["paused"]
+            return
+        seen = self._seen(order, progress, now, wall)
+        step = steps.next_step(progress, seen)
+        self._held_up[order.id] = [step.hold_up] if step.hold_up else []
+        if step.progress != progress:
+            if step.progress.wave != progress.wave:
+                self._before.setdefault(order.id, self.in_time())
+            self._decide(order, step.progress)
+        for name in step.give_up:
+            host = self.ledger.hosts.get(name)
+            if host is not None and host.draining is None:
+                host.draining = f"order {order.id} is halted"
+        if step.rent and progress.of is not None:
+            self.fleet.extra[order.id] = [Rent(self._target(order, progress.of), step.rent)]
+        else:
+            self.fleet.extra.pop(order.id, None)
+
+    @staticmethod
+    def _target(order: Order, of: Sort) -> Offer:
+        return Offer(order.to or of[0], of[1], of[2])
+
+    def _seen(
+        self, order: Order, progress: Progress, now: MonotonicTime, wall: WallTime
+    ) -> steps.Seen:
+        old, fresh = [], []
+        kinds = {(h.type, h.zone, h.spot) for h in self.ledger.hosts.values()}
+        replaced = {self._target(order, kind): kind for kind in sorted(kinds)}
+        failed = self._failed.setdefault(order.id, {})
+        for host in self.ledger.hosts.values():
+            kind = host.type, host.zone, host.spot
+            if scope.means(order, progress, host):
+                old.append(steps.Old(host.id, kind, host.used.cpus))
+            elif progress.mark is not None and host.id > progress.mark:
+                of = replaced.get(Offer(*kind))
+                if of is None:
+                    continue
+                if self._bad(host, now):
+                    failed[host.id] = of  # for good, though it is returned before long
+                    continue
+                failed.pop(host.id, None)  # it came up after all
+                if not host.deleting and host.draining is None:
+                    fresh.append(steps.Fresh(host.id, of, host.known, False))
+        fresh += [steps.Fresh(name, of, False, True) for name, of in failed.items()]
+        states = [s for s in self.picture.host_states(now) if s.ready_at <= now]
+        staying = {one.id for one in old}
+        boots = [kind.boot_s for kind in self.types.values()]
+        return steps.Seen(
+            now=wall,
+            old=tuple(old),
+            fresh=tuple(fresh),
+            well={z for z in self.settings.zones if self.zones.condition(z) is Condition.WELL},
+            boot_s=max(boots, default=30.0),
+            refused={
+                kind
+                for offer, kind in replaced.items()
+                if self.fleet.lately_refused(offer, now)
+            },
+            waiting_cpus=self.waiting_cpus(),
+            fleet_cpus=sum(state.total.cpus for state in states),
+            free_cpus=sum(s.free.cpus for s in states if s.id not in staying),
+            fell=self._fell(order.id),
+        )
+
+    def _bad(self, host: Host, now: MonotonicTime) -> bool:
+        kind = self.types.get(host.type)
+        boot_s = kind.boot_s if kind is not None else 30.0
+        if not host.up and host.fed_at is None:
+            return now - host.created_at > LATE_BOOTS * boot_s
+        return host.quarantined_at is not None or host.slowness > SLOW
+
+    def _fell(self, order: OrderId) -> str:
+        """A team of whose jobs far fewer are in time than before the order began."""
+        before = self._before.get(order)
+        if before is None:
+            return ""
+        for team, (in_time, timed) in self.in_time().items():
+            was_in_time, was_timed = before.get(team, (0, 0))
+            number = timed - was_timed
+            if was_timed < steps.ENOUGH_TIMED or number < steps.ENOUGH_TIMED:
+                continue
+            if (in_time - was_in_time) / number < was_in_time / was_timed - steps.FELL_BY:
+                return f"team {team}: far fewer jobs are in time than before"
+        return ""
+
+    def _tidy(self) -> None:
+        """Orders that ended long ago are forgotten, and so is what was asked for them."""
+        ended = [
+            order
+            for order in self.view.orders.values()
+            if self.progress(order.id).stage.final and not order.keep
+        ]
+        for order in ended:
+            self.fleet.extra.pop(order.id, None)
+        ended.sort(key=lambda order: self.progress(order.id).since)
+        for order in ended[:-KEPT_ORDERS]:
+            if order.id in self.view.upkeep and order.id not in self.recorder.upkeep:
+                self.recorder.order(order.id, None)
+
+    # -- stops -----------------------------------------------------------------------------
+
+    def _empty(self, now: MonotonicTime, wall: WallTime) -> None:
+        """What has to be stopped on the machines that are to run empty."""
+        if self._spending:
+            return
+        hosts = [h for h in self.ledger.hosts.values() if h.order is not None and h.known]
+        hosts = [
+            h
+            for h in hosts
+            if h.order in self.view.orders and self._goes(self.view.orders[h.order])
+        ]
+        if not any(host.busy for host in hosts):
+            return
+        decision = draining.decide(
+            self._aboard(hosts, now, wall), self.disruptions, self._wholes(), now
+        )
+        for order in {host.order for host in hosts if host.order is not None}:
+            if decision.held_up:
+                self._held_up[order] = decision.held_up[:HELD_UP_SHOWN]
+            self._late[order] = decision.late
+        if decision.stops:
+            cuts = [Cut(tuple(self._runs_of(one)), one.hit, DRAINED) for one in decision.stops]
+            self._spend(cuts, now)
+
+    @staticmethod
+    def _goes(order: Order) -> bool:
+        return order.wish is Wish.GO
+
+    def _aboard(self, hosts: list[Host], now: MonotonicTime, wall: WallTime) -> list[Aboard]:
+        free = {
+            state.id: (state, state.free)
+            for state in self.picture.host_states(now)
+            if state.ready_at <= now and state.closes_at == math.inf
+        }
+        found = []
+        for host in hosts:
+            assert host.order is not None
+            limit_s = self._limit_s(self.view.orders[host.order], wall)
+            for run in host.runs.values():
+                record = self.view.active.get(run.id.task.job)
+                spec = record.spec if record is not None else None
+                if not run.occupies or spec is None:
+                    continue
+                ran = 0.0 if run.running_at is None else now - run.running_at
+                service = spec.kind is Kind.SERVICE
+                members = len(self.ledger.by_job.get(spec.id, ()))
+                gang = members if spec.kind is Kind.GANG else 0
+                place = None
+                if service or spec.checkpoint_s > 0:
+                    zones = self.ledger.job_zones(spec.id)
+                    for name, (state, room) in free.items():
+                        bound = spec.one_zone and members > 1 and state.zone != host.zone
+                        full = (
+                            spec.spread
+                            and state.zone != host.zone
+                            and zones.get(state.zone, 0) + 1 > (spec.tasks + 1) // 2
+                        )
+                        if (
+                            room.holds(spec.need)
+                            and not bound
+                            and not full
+                            and host_allowed(spec, state.type, state.zone, state.spot)
+                        ):
+                            place = name
+                            free[name] = state, room.minus(spec.need)
+                            break
+                found.append(
+                    Aboard(
+                        run.id,
+                        host.id,
+                        spec.team,
+                        spec.rank,
+                        run.need.cpus,
+                        ran,
+                        math.inf if service else self.estimates.left_s(spec, ran),
+                        spec.save_s if spec.checkpoint_s > 0 else 0.0,
+                        limit_s,
+                        service,
+                        spec.tasks if service else 0,
+                        self._up(spec.id) if service else 0,
+                        gang,
+                        gang * spec.need.cpus,
+                        place is not None,
+                        run.stop_grace is not None,
+                    )
+                )
+        return found
+
+    def _limit_s(self, order: Order, wall: WallTime) -> float:
+        """From now until its machines are to be empty."""
+        ends = math.inf if order.ends_at is None else order.ends_at
+        if order.within_s is not None:
+            progress = self.progress(order.id)
+            began = progress.since if progress.stage is not Stage.NEW else wall
+            ends = min(ends, began + order.within_s)
+        return ends - wall
+
+    def _up(self, job: JobId) -> int:
+        """Replicas that run and are not about to be stopped."""
+        count = 0
+        for task in self.ledger.by_job.get(job, ()):
+            runs = self.ledger.present.get(task, ())
+            count += any(
+                run.phase is TaskPhase.RUNNING and run.stop_grace is None for run in runs
+            )
+        return count
+
+    def _wholes(self) -> dict[Team, Whole]:
+        counts: dict[Team, int] = {}
+        for runs in self.ledger.present.values():
+            if not runs[0].service:
+                counts[runs[0].team] = counts.get(runs[0].team, 0) + 1
+        return {
+            team: Whole(counts.get(team, 0), use.cpus) for team, use in self.ledger.use.items()
+        }
+
+    def _runs_of(self, one: Aboard) -> list[AttemptId]:
+        """All of a gang goes with one of it."""
+        if not one.gang:
+            return [one.attempt]
+        tasks = self.ledger.by_job.get(one.attempt.task.job, {})
+        return [run.id for task in tasks for run in self.ledger.present.get(task, ())]
+
+    # -- budgets ---------------------------------------------------------------------------
+
+    @property
+    def binds(self) -> bool:
+        """Do the scheduler's own doings keep to the budgets?"""
+        return self.settings.operator.disruption.bind_all
+
+    def spared(self) -> frozenset[Team]:
+        """Teams of whose work nothing may be stopped by choice now."""
+        if not self.binds:
+            return frozenset()
+        wholes = self._wholes()
+        return frozenset(
+            t for t, whole in wholes.items() if self.disruptions.exhausted(t, whole)
+        )
+
+    def grant(self, wanted: Iterable[tuple[Run, Duration, str]], now: MonotonicTime) -> None:
+        """Stops that a plan wants, as far as the budgets allow them."""
+        wholes = self._wholes()
+        for run, grace, reason in wanted:
+            spec = self._spec(run)
+            if spec is None:
+                continue
+            hit = Hit(run.team, run.id.task.job, 1, run.need.cpus, run.service)
+            up = self._up(hit.job) if run.service else 0
+            refused = self.disruptions.refusal(
+                hit, wholes.get(run.team, Whole()), spec.tasks, up
+            )
+            if refused is not None:
+                log.debug("stop of %s held up: %s", run.id, refused)
+            else:
+                # One by one: what the last was granted counts for the next.
+                self._spend([Cut((run.id,), hit, reason, grace)], now)
+
+    def _spec(self, run: Run) -> JobSpec | None:
+        record = self.view.active.get(run.id.task.job)
+        return record.spec if record is not None else None
+
+    def _spend(self, cuts: list[Cut], now: MonotonicTime) -> None:
+        """Spent from here on, whatever becomes of it; stopped once that is durable."""
+        value = self.disruptions.record((cut.hit for cut in cuts), now, WallTime(self.wall()))
+        if len(codec.dump(value)) > records.value_room(self.settings.value_bytes):
+            # Too many teams at once for one record: what can't be written down is not done.
+            log.info("%d stops wait: the record of disruptions is full", len(cuts))
+            return
+        for cut in cuts:
+            cpus = cut.hit.cpus / max(1, len(cut.attempts))
+            share = replace(cut.hit, tasks=1, cpus=cpus)
+            for attempt in cut.attempts:
+                self.disruptions.note(share, attempt.task, now, choice=True)
+        self._spending += 1
+        self.spawn(self._stop_once_durable(value, cuts))
+
+    async def _stop_once_durable(self, value: Any, cuts: list[Cut]) -> None:
+        try:
+            await self.recorder.record_disruptions(value)
+        finally:
+            self._spending -= 1
+        if not self.may_start():
+            return
+        for cut in cuts:
+            for attempt in cut.attempts:
+                for run in list(self.ledger.present.get(attempt.task, ())):
+                    if run.id == attempt and run.stop_grace is None:
+                        self._stop(run, cut)
+
+    def _stop(self, run: Run, cut: Cut) -> None:
+        host = self.ledger.hosts.get(run.host)
+        alone = cut.reason == DRAINED and len(cut.attempts) == 1
+        if alone and (host is None or host.order is None):
+            self.disruptions.restored(run.id.task)
+            return  # undrained meanwhile
+        grace = cut.grace
+        if grace is None:
+            spec = self._spec(run)
+            saves = spec is not None and spec.checkpoint_s > 0
+            grace = spec.save_s if spec is not None and saves else Duration(0.0)
+        log.info("stop %s on %s: %s", run.id, run.host, cut.reason)
+        self.stop(run, grace)
+
+    # -- what happens ------------------------------------------------------------------------
+
+    def lost(self, runs: Iterable[Run], now: MonotonicTime) -> None:
+        """Nobody chose it, but it counts."""
+        for run in runs:
+            hit = Hit(run.team, run.id.task.job, 1, run.need.cpus, run.service)
+            if run.id.task.job in self.view.active:
+                self.disruptions.note(hit, run.id.task, now, choice=False)
+
+    # -- for operators -----------------------------------------------------------------------
+
+    def status(self) -> dict[str, Any]:
+        """What only the leader knows of each order."""
+        wall = WallTime(self.wall())
+        return {order.id: self._status(order, wall) for order in self.view.orders.values()}
+
+    def _status(self, order: Order, wall: WallTime) -> dict[str, Any]:
+        progress = self.progress(order.id)
+        left = self._meant(order, progress) if progress.mark is not None else []
+        over = progress.stage.final
+        return {
+            "stage": progress.stage.value,
+            "wave": progress.wave,
+            "in_hand": sum(host.order == order.id for host in self.ledger.hosts.values()),
+            "left": 0 if over else len(left),
+            "busy": sum(host.busy for host in left),
+            "done": progress.done,
+            "held_up": [] if over else self._held_up.get(order.id, []),
+            "late": self._late.get(order.id, 0),
+            "why": progress.why,
+            "over_in_s": None if over else self._over_in(order, progress, left, wall),
+        }
+
+    def _over_in(
+        self, order: Order, progress: Progress, left: list[Host], wall: WallTime
+    ) -> float | None:
+        """When it should be over; None where nothing says so."""
+        if order.kind is OrderKind.REPLACE:
+            if not progress.done:
+                return None
+            rate = progress.done / max(1.0, wall - order.made_at)
+            return round(len(left) / rate, 0)
+        longest = 0.0
+        now = self.fleet.now()
+        for host in left:
+            for run in host.runs.values():
+                spec = self._spec(run)
+                if spec is None or not run.occupies:
+                    continue
+                if spec.kind is Kind.SERVICE:
+                    continue
+                ran = 0.0 if run.running_at is None else now - run.running_at
+                longest = max(longest, self.estimates.left_s(spec, ran))
+        return round(min(longest, max(0.0, self._limit_s(order, wall))), 0)
--- /dev/null
+++ b/dunehold/coordination/upkeep/scope.py
@@ -0,0 +1,85 @@
+"""Which machines each order concerns, at this moment: pure reading of orders and machines."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from dunehold.bookkeeping.hosts import Host
+from dunehold.bookkeeping.orders import Progress, Stage
+from dunehold.bookkeeping.records import HostRecord
+from dunehold.protocol.operators import Order, OrderKind, Wish
+from dunehold.types import HostId, OrderId, WallTime
+
+NOT_BEGUN = Progress()
+
+
+def marked(order: Order) -> bool:
+    """Does it mean only machines that there were when it was taken up?"""
+    chosen = order.selection
+    bounded = chosen.older_s is not None or chosen.share is not None
+    return order.kind is OrderKind.REPLACE or bounded
+
+
+def means(order: Order, progress: Progress, host: Host | HostRecord) -> bool:
+    """Names come in the order in which machines were created: the mark bounds their age."""
+    if not order.selection.means(host.id, host.type, host.zone, host.spot):
+        return False
+    if not marked(order):
+        return True
+    if progress.mark is None:
+        # Not taken up: a share is known by the names alone, an age is not.
+        return order.kind is OrderKind.DRAIN and order.selection.older_s is None
+    return host.id <= progress.mark
+
+
+def in_force(order: Order, progress: Progress, wall: WallTime) -> bool:
+    """Does it keep machines out of service now?"""
+    if order.wish is Wish.ABORT:
+        return False
+    if order.begins_at is not None and wall < order.begins_at:
+        return False
+    if order.kind is OrderKind.DRAIN and order.keep:
+        return progress.stage is not Stage.ABORTED
+    return not progress.stage.final
+
+
+def closed(order: Order, progress: Progress, host: Host, wall: WallTime) -> bool:
+    """Does this order keep this machine out of service now?"""
+    if not in_force(order, progress, wall):
+        return False
+    if order.kind is OrderKind.REPLACE:
+        return host.id in progress.hands
+    return means(order, progress, host)
+
+
+def newest(hosts: Iterable[HostId]) -> HostId | None:
+    return max(hosts, default=None)
+
+
+def overlap(
+    order: Order,
+    others: Mapping[OrderId, Order],
+    upkeep: Mapping[OrderId, Progress],
+    hosts: Iterable[HostRecord],
+) -> OrderId | None:
+    """An order under way that would replace machines which this one takes out for good, or the
+    other way round, or that replaces them as well."""
+    rivals = [
+        other
+        for other in others.values()
+        if other.id != order.id
+        and other.wish is not Wish.ABORT
+        and not upkeep.get(other.id, NOT_BEGUN).stage.final
+        and OrderKind.REPLACE in (other.kind, order.kind)
+    ]
+    if not rivals:
+        return None
+    for host in hosts:
+        if not order.selection.means(host.id, host.type, host.zone, host.spot):
+            continue
+        for other in rivals:
+            if means(other, upkeep.get(other.id, NOT_BEGUN), host):
+                return other.id
+            if other.selection.means(host.id, host.type, host.zone, host.spot):
+                return other.id
+    return None
--- a/dunehold/coordination/users/served.py
+++ b/dunehold/coordination/users/served.py
@@ -17,7 +17,7 @@
 from dunehold.coordination.picture.aims import finish_limit
 from dunehold.protocol.users import JobSpec
 from dunehold.settings import Settings
-from dunehold.types import JobId, JobPhase, Kind
+from dunehold.types import JobId, JobPhase, Kind, Team
 
 
 @dataclass(slots=True)
@@ -107,6 +107,10 @@
             "zones": {zone: record.condition for zone, record in self.view.zones.items()},
         }
 
+    def in_time(self) -> dict[Team, tuple[int, int]]:
+        """Of each team: jobs done within their aims, and those done that had one."""
+        return {Team(name): (row.in_time, row.timed) for name, row in self.teams.items()}
+
     def line(self) -> str:
         """For the log: each class's and team's share of the work asked for."""
         found = self.picture()
--- /dev/null
+++ b/dunehold/operating.py
@@ -0,0 +1,173 @@
+"""Operators' commands: drain, undrain, replace, pause, resume, abort, orders, show."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import re
+import secrets
+import sys
+import time
+from typing import Any
+
+from dunehold import report
+from dunehold.protocol import codec, operators
+from dunehold.protocol.codec import BadMessage
+from dunehold.protocol.operators import Order
+from dunehold.transport.http import HttpClient, NoResponse
+from dunehold.types import OrderId
+
+CHANGES = {"undrain": "abort", "abort": "abort", "pause": "pause", "resume": "resume"}
+COMMANDS = ("drain", "replace", *CHANGES, "orders", "show")
+EXIT_FAILED, EXIT_USAGE = 1, 2
+TIMEOUT_S = 5.0
+UNITS = {"s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
+
+
+def add_parsers(commands: Any) -> None:
+    drain = commands.add_parser("drain", help="take machines out of service")
+    replace = commands.add_parser("replace", help="replace machines by fresh ones, in steps")
+    for command in (drain, replace):
+        _add_selection(command)
+    drain.add_argument(
+        "--from", dest="begins", metavar="TIME", help="a window that begins then"
+    )
+    drain.add_argument("--by", metavar="TIME", help="when the machines are to be empty")
+    drain.add_argument("--keep", action="store_true", help="keep them rented once empty")
+    replace.add_argument("--to", metavar="TYPE", help="by machines of another type")
+    replace.add_argument(
+        "--within", metavar="SPAN", help="how long a machine in hand may take to run empty"
+    )
+    for name, text in (
+        ("undrain", "put machines back into service"),
+        ("abort", "end an order where it is"),
+        ("pause", "stop and take nothing more for an order"),
+        ("resume", "go on with an order"),
+        ("show", "one order: how far it is and what holds it up"),
+    ):
+        command = commands.add_parser(name, help=text)
+        command.add_argument("order", help="the order's id")
+    commands.add_parser("orders", help="all orders, those that ended lately included")
+    for name in COMMANDS:
+        command = commands.choices[name]
+        command.add_argument(
+            "--server", default="127.0.0.1:8082", help="HOST:PORT of any controller's operators"
+        )
+        command.add_argument("--timeout", type=float, default=TIMEOUT_S)
+        command.add_argument("--json", action="store_true", help="print the answer as it came")
+        if name not in ("orders", "show"):
+            command.add_argument(
+                "--seen", type=int, help="refuse if any order has changed since this serial"
+            )
+
+
+def _add_selection(command: argparse.ArgumentParser) -> None:
+    command.add_argument("hosts", nargs="*", help="machines by name")
+    command.add_argument("--type", dest="types", action="append", default=[])
+    command.add_argument("--zone", dest="zones", action="append", default=[])
+    kind = command.add_mutually_exclusive_group()
+    kind.add_argument("--spot", action="store_true", default=None)
+    kind.add_argument("--ordinary", dest="spot", action="store_false")
+    command.add_argument("--older", metavar="SPAN", help="only machines rented longer ago")
+    command.add_argument("--share", metavar="SHARE", help="a part of them, such as 10%%")
+    command.add_argument("--reason", default="")
+    command.add_argument("--id", help="names the order, so that it can be sent again safely")
+
+
+def span_s(text: str) -> float:
+    """``90``, ``90s``, ``15m``, ``2h``, ``1d``; ValueError for anything else."""
+    found = re.fullmatch(r"(\d+(?:\.\d+)?)([smhd]?)", text)
+    if found is None:
+        raise ValueError(f"{text}: not a span of time such as 90s, 15m or 2h")
+    return float(found[1]) * UNITS[found[2] or "s"]
+
+
+def moment_s(text: str, now: float) -> float:
+    """``+15m`` from now, or seconds since the epoch."""
+    if text.startswith("+"):
+        return round(now + span_s(text[1:]), 3)
+    if re.fullmatch(r"\d{9,}(\.\d+)?", text) is None:
+        raise ValueError(f"{text}: not a time such as +15m, or seconds since the epoch")
+    return float(text)
+
+
+def _share(text: str) -> float:
+    found = re.fullmatch(r"(\d+(?:\.\d+)?)(%?)", text)
+    if found is None:
+        raise ValueError(f"{text}: not a share such as 10% or 0.1")
+    return float(found[1]) / (100.0 if found[2] else 1.0)
+
+
+def request_of(options: argparse.Namespace, now: float) -> Order:
+    """ValueError or BadMessage with one line that says what is wrong."""
+    row: dict[str, Any] = {
+        "kind": options.command,
+        "hosts": options.hosts,
+        "types": options.types,
+        "zones": options.zones,
+        "spot": options.spot,
+        "reason": options.reason or None,
+    }
+    if options.older is not None:
+        row["older_s"] = span_s(options.older)
+    if options.share is not None:
+        row["share"] = _share(options.share)
+    if options.command == "drain":
+        row["keep"] = options.keep
+        for key, text in (("from", options.begins), ("by", options.by)):
+            row[key] = None if text is None else moment_s(text, now)
+    else:
+        row["to"] = options.to
+        row["within_s"] = None if options.within is None else span_s(options.within)
+    name = options.id or f"{options.command}-{secrets.token_hex(4)}"
+    if not operators.valid_order_id(name):
+        raise ValueError(f"{name}: not an order's id: letters, digits, - and _")
+    return operators.read_order(OrderId(name), row)
+
+
+def run(options: argparse.Namespace) -> int:
+    host, colon, port = options.server.rpartition(":")
+    if not colon or not port.isdigit():
+        return _usage("--server: must be HOST:PORT")
+    body: bytes | None = None
+    method, target = "GET", operators.ORDERS_PATH
+    if options.command in ("drain", "replace"):
+        try:
+            order = request_of(options, time.time())
+        except (ValueError, BadMessage) as error:
+            return _usage(str(error))
+        method, body = "POST", operators.encode_request(order, options.seen)
+    elif options.command != "orders":
+        if not operators.valid_order_id(options.order):
+            return _usage(f"{options.order}: not an order's id")
+        target += f"/{options.order}"
+        if options.command in CHANGES:
+            method, target = "POST", f"{target}/{CHANGES[options.command]}"
+            body = codec.dump({} if options.seen is None else {"seen": options.seen})
+    client = HttpClient(host, int(port))
+    try:
+        status, data = asyncio.run(client.request(method, target, body, options.timeout))
+        row = codec.load_object(data)
+    except (NoResponse, BadMessage) as error:
+        again = f" with --id {order.id}" if options.command in ("drain", "replace") else ""
+        print(
+            f"dunehold: {options.server}: no answer ({error}); try again{again}",
+            file=sys.stderr,
+        )
+        return EXIT_FAILED
+    if status not in (200, 201):
+        hint = ": try again" if status in (429, 503) else ""
+        print(f"dunehold: {row.get('error', f'status {status}')}{hint}", file=sys.stderr)
+        return EXIT_USAGE if status == 400 else EXIT_FAILED
+    if options.json:
+        print(data.decode("utf-8", "replace"))
+    elif options.command == "orders":
+        print(report.orders(row, time.time()))
+    else:
+        print(report.order(row, time.time()))
+    return 0
+
+
+def _usage(reason: str) -> int:
+    print(f"dunehold: {reason}", file=sys.stderr)
+    return EXIT_USAGE
--- a/dunehold/protocol/peers.py
+++ b/dunehold/protocol/peers.py
@@ -5,16 +5,17 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from dunehold.protocol import codec
 from dunehold.protocol.codec import BadMessage
 from dunehold.transport.http import Client
-from dunehold.types import JobId
+from dunehold.types import JobId, Revision
 
 RUNNING_PATH = "/peer/running"
 PROOF_PATH = "/peer/proof"
 SERVED_PATH = "/peer/served"  # operators ask for it
+UPKEEP_PATH = "/peer/upkeep"  # of the leader: how far it is with each order
 
 
 def encode_running(running: dict[JobId, int]) -> bytes:
@@ -42,6 +43,22 @@
     return Sight(codec.amount(row, "age_s"), codec.opt_amount(row, "worker_age_s") or 0.0)
 
 
+def encode_upkeep(applied: Revision, status: dict[str, Any]) -> bytes:
+    return codec.dump({"applied": applied, "orders": status})
+
+
+async def get_upkeep(client: Client, timeout_s: float) -> tuple[Revision, dict[str, Any]]:
+    """The revision that the leader's view has, and what it knows of each order."""
+    status, data = await client.request("GET", UPKEEP_PATH, None, timeout_s)
+    if status != 200:
+        raise BadMessage(f"status {status}")
+    row = codec.load_object(data)
+    orders = row.get("orders")
+    if not isinstance(orders, dict):
+        raise BadMessage("orders must be an object")
+    return Revision(codec.count(row, "applied")), orders
+
+
 async def get_running(client: Client, timeout_s: float) -> dict[JobId, int]:
     """How many tasks of each job the leader takes to be on machines."""
     status, data = await client.request("GET", RUNNING_PATH, None, timeout_s)
--- a/dunehold/report.py
+++ b/dunehold/report.py
@@ -18,6 +18,81 @@
     return "\n".join(lines)
 
 
+ORDERS = ("", "what", "stage", "done", "left", "in hand", "wave", "over in")
+
+
+def orders(row: dict[str, Any], now: float) -> str:
+    """The answer to ``dunehold orders``, the oldest order first."""
+    lines = [f"serial {row['serial']}, leader {row['leader'] or 'none'}"]
+    rows = [ORDERS, *(_order_cells(one) for one in row["orders"])]
+    return (
+        "\n".join([*lines, "", *_aligned(rows)]) if row["orders"] else lines[0] + ", no orders"
+    )
+
+
+def _order_cells(row: dict[str, Any]) -> tuple[str, ...]:
+    over_in = row.get("over_in_s")
+    stage = row["stage"] if row["wish"] == "go" else f"{row['stage']}, {row['wish']}"
+    counts = (str(row.get(key, "?")) for key in ("done", "left", "in_hand", "wave"))
+    return (
+        row["id"],
+        row["kind"],
+        stage,
+        *counts,
+        "?" if over_in is None else f"{over_in:.0f} s",
+    )
+
+
+def order(row: dict[str, Any], now: float) -> str:
+    """One order: what it asks for, how far it is, what holds it up."""
+    asked = {
+        "machines": row.get("hosts"),
+        "types": row.get("types"),
+        "zones": row.get("zones"),
+        "kind": None if row.get("spot") is None else ["ordinary", "spot"][row["spot"]],
+        "older than": _span(row.get("older_s")),
+        "share": row.get("share"),
+        "by type": row.get("to"),
+        "from": _until(row.get("from"), now),
+        "by": _until(row.get("by"), now),
+        "within": _span(row.get("within_s")),
+        "reason": row.get("reason"),
+    }
+    lines = [f"{row['id']}: {row['kind']}, {row['stage']}, wish {row['wish']}"]
+    for name, value in asked.items():
+        if value is not None:
+            lines.append(f"  {name}: {', '.join(value) if isinstance(value, list) else value}")
+    if row.get("live"):
+        over_in = row.get("over_in_s")
+        lines.append(
+            f"  {row['done']} done, {row['left']} left, {row['in_hand']} in hand, "
+            f"{row['busy']} busy" + ("" if over_in is None else f"; over in {over_in:.0f} s")
+        )
+        lines += [f"  held up: {reason}" for reason in row["held_up"]]
+        if row["late"]:
+            lines.append(
+                f"  {row['late']} tasks stay beyond the time limit: no budget for them"
+            )
+    else:
+        lines.append(f"  {row['done']} done; the leader could not be asked")
+    if row.get("why"):
+        lines.append(f"  {row['why']}")
+    if row.get("in_force") is False:
+        lines.append("  taken; the leader has not said yet that it has it")
+    return "\n".join([*lines, f"  serial {row['serial']}"])
+
+
+def _span(seconds: float | None) -> str | None:
+    return None if seconds is None else f"{seconds:g} s"
+
+
+def _until(moment: float | None, now: float) -> str | None:
+    if moment is None:
+        return None
+    left = moment - now
+    return f"in {left:.0f} s" if left >= 0 else f"{-left:.0f} s ago"
+
+
 def _cells(name: str, cells: dict[str, Any]) -> tuple[str, ...]:
     in_time = f"{cells['in_time']}/{cells['timed']}" if cells["timed"] else "-"
     hours = (f"{cells[column] / 3600:.2f}" for column in ("cpu_s", "served_cpu_s"))
@@ -26,7 +101,7 @@
 
 
 def _aligned(rows: list[tuple[str, ...]]) -> list[str]:
-    widths = [max(len(row[column]) for row in rows) for column in range(len(COLUMNS))]
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
     return [
         "  ".join(
             cell.rjust(width) if column else cell.ljust(width)
--- a/dunehold/settings.py
+++ b/dunehold/settings.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Any
 
+from dunehold import budgets
+from dunehold.budgets import Budgets
 from dunehold.types import Duration, NodeId, Room, Team, Zone
 
 
@@ -79,6 +81,8 @@
     preemption: int = 1
     bind_outgoing: int = 0
     pack_submissions: int = 1
+    operator_port: int = 0
+    disruption: Budgets = Budgets()
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,9 +269,17 @@
     known = {item.name: item.type for item in fields(OperatorSettings)}
     values: dict[str, Any] = {}
     for entry in form[1:]:
-        if not isinstance(entry, list) or len(entry) != 2:
+        if not isinstance(entry, list) or not entry:
             raise SettingsError(f"{path}: every entry must be (name value)")
         name = str(entry[0]).replace("-", "_")
+        if name == "disruption":
+            try:
+                values[name] = budgets.read(entry[1:])
+            except ValueError as error:
+                raise SettingsError(f"{path}: disruption: {error}") from None
+            continue
+        if len(entry) != 2:
+            raise SettingsError(f"{path}: every entry must be (name value)")
         value = entry[1]
         if name not in known:
             raise SettingsError(f"{path}: {entry[0]}: no such setting")
@@ -278,6 +290,8 @@
             raise SettingsError(f"{path}: {entry[0]}: must be a number of at least 0")
         values[name] = value
     operator = OperatorSettings(**values)
+    if operator.operator_port > 65535:
+        raise SettingsError(f"{path}: operator-port: must be a port, or 0 for none")
     if operator.leader_renew_s * 2 >= operator.leader_lease_s or operator.leader_lease_s < 0.5:
         raise SettingsError(
             f"{path}: leader-lease-s: must be over twice leader-renew-s, >= 0.5"
--- a/dunehold/types.py
+++ b/dunehold/types.py
@@ -9,6 +9,7 @@
 HostId = NewType("HostId", str)
 NodeId = NewType("NodeId", str)
 RentalId = NewType("RentalId", str)
+OrderId = NewType("OrderId", str)  # of operators
 Team = NewType("Team", str)
 Zone = NewType("Zone", str)
 TypeName = NewType("TypeName", str)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -20,6 +20,8 @@
 from dunehold.emulator import faults
 from dunehold.emulator.scenario import DEFAULT, ScenarioError, parse
 
+pytestmark = pytest.mark.xdist_group("processes")
+
 ROOT = Path(__file__).parent.parent
 SHORT = ROOT / "deploy" / "emulator" / "short.toml"
 
@@ -74,7 +76,7 @@
     rows = [
         orjson.loads(line) for line in (tmp_path / "faults.jsonl").read_bytes().splitlines()
     ]
-    # How many kills find a machine up depends on how fast this machine is: by time and by event.
+    # How many kills find a machine up depends on how fast this one is: by time and by event.
     hit = [row for row in rows if row["kind"] == "machines" and row["hosts"]]
     assert {bool(row.get("on")) for row in hit} == {True, False}, rows
     assert {row["kind"] for row in rows} == {"machines", "controllers", "state"}
--- /dev/null
+++ b/tests/test_upkeep.py
@@ -0,0 +1,434 @@
+"""Budgets, what is stopped on draining machines, and steps: the pure parts, by properties."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from dunehold.bookkeeping.disruptions import Disruptions, Hit, Whole
+from dunehold.bookkeeping.orders import (
+    Progress,
+    Stage,
+    decode_order,
+    decode_progress,
+    encode_order,
+    encode_progress,
+)
+from dunehold.budgets import Amount, Budget, Budgets
+from dunehold.coordination.upkeep import draining, scope, steps
+from dunehold.coordination.upkeep.draining import Aboard
+from dunehold.coordination.upkeep.steps import Fresh, Old, Seen
+from dunehold.operating import moment_s, span_s
+from dunehold.protocol.codec import BadMessage
+from dunehold.protocol.operators import Order, OrderKind, Selection, read_order
+from dunehold.settings import SettingsError, load_operator
+from dunehold.types import (
+    Attempt,
+    AttemptId,
+    Duration,
+    HostId,
+    JobId,
+    MonotonicTime,
+    OrderId,
+    Rank,
+    Revision,
+    TaskId,
+    Team,
+    TypeName,
+    WallTime,
+    Zone,
+)
+
+BLUE, RED = Team("blue"), Team("red")
+BUDGET = Budget(Amount(3), Amount(12.0), Amount(1), Amount(2), Duration(20.0))
+BUDGETS = Budgets(BUDGET, {RED: replace(BUDGET, tasks=Amount(share=0.5))})
+
+
+class Spending(RuleBasedStateMachine):
+    """Leaders come and go, stops are asked for, tasks return or don't: counted beside the books
+    as an operator would count, from what was granted and is not back for sure."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.record: object = None
+        self.granted: list[tuple[float, Team, TaskId]] = []
+        self.away: dict[TaskId, Team] = {}
+        self.number = 0
+        self.lead()
+
+    def lead(self) -> None:
+        self.books = Disruptions(BUDGETS)
+        self.books.restore(self.record, MonotonicTime(self.now), WallTime(self.now))
+        self.known: set[TaskId] = set()
+
+    @rule(team=st.sampled_from([BLUE, RED]), cpus=st.sampled_from([1.0, 4.0, 8.0]))
+    def stop(self, team: Team, cpus: float) -> None:
+        self.number += 1
+        task = TaskId(JobId(f"job-{self.number:06d}"), 0)
+        hit = Hit(team, task.job, 1, cpus)
+        if self.books.refusal(hit, Whole(8, 100.0)) is not None:
+            return
+        self.record = self.books.record([hit], MonotonicTime(self.now), WallTime(self.now))
+        self.books.note(hit, task, MonotonicTime(self.now), choice=True)
+        self.granted.append((self.now, team, task))
+        self.away[task] = team
+        self.known.add(task)
+
+    @rule(index=st.integers(0, 50))
+    def comes_back(self, index: int) -> None:
+        tasks = sorted(self.away)
+        if tasks:
+            task = tasks[index % len(tasks)]
+            self.books.restored(task)
+            del self.away[task]
+
+    @rule(team=st.sampled_from([BLUE, RED]))
+    def is_lost(self, team: Team) -> None:
+        self.number += 1
+        task = TaskId(JobId(f"job-{self.number:06d}"), 0)
+        self.books.note(Hit(team, task.job, 1, 1.0), task, MonotonicTime(self.now), False)
+
+    @rule(seconds=st.floats(0.5, 15.0))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+        self.books.step(MonotonicTime(self.now))
+
+    @rule()
+    def next_leader(self) -> None:
+        self.lead()
+
+    @invariant()
+    def within_budget(self) -> None:
+        for team, most in (
+            (BLUE, 3),
+            (RED, 5),
+        ):  # half of 8, and what is away counts as a whole
+            recent = {task for at, t, task in self.granted if t == team and at > self.now - 20}
+            away = {task for task, t in self.away.items() if t == team and task in self.known}
+            assert len(recent | away) <= most * (2 if team is RED else 1), (recent, away)
+
+
+Spending.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+TestSpending = Spending.TestCase
+
+
+def test_a_leader_that_forgets_spends_twice() -> None:
+    """The record and the window from the takeover on are what keep it from that."""
+    books = Disruptions(BUDGETS)
+    hit = Hit(BLUE, JobId("job-000001"), 3, 3.0)
+    now, wall = MonotonicTime(50.0), WallTime(5e8)
+    record = books.record([hit], now, wall)
+    later, later_wall = MonotonicTime(7.0), WallTime(wall + 19.0)  # another clock
+    heir, forgetful = Disruptions(BUDGETS), Disruptions(BUDGETS)
+    heir.restore(record, later, later_wall)
+    one = Hit(BLUE, JobId("job-000002"), 1, 1.0)
+    assert forgetful.refusal(one, Whole(8, 100.0)) is None
+    assert heir.refusal(one, Whole(8, 100.0)) == "team blue: 3 of its tasks at once"
+    heir.step(MonotonicTime(later + 19.0))
+    assert heir.refusal(one, Whole(8, 100.0)) is not None  # its window counts from now
+    heir.step(MonotonicTime(later + 20.5))
+    assert heir.refusal(one, Whole(8, 100.0)) is None
+    with pytest.raises(BadMessage):
+        heir.restore({"f": 2, "rows": []}, later, wall)
+
+
+# -- what is stopped ---------------------------------------------------------------------------
+
+
+def aboard(rng: random.Random, number: int) -> Aboard:
+    service = rng.random() < 0.2
+    gang = 0 if service or rng.random() < 0.8 else 3
+    job = JobId(f"job-{rng.randrange(6) + (10 if service else 20 if gang else 0):06d}")
+    return Aboard(
+        AttemptId(TaskId(job, number), Attempt(number + 1)),
+        HostId(f"m-{rng.randrange(5)}"),
+        rng.choice([BLUE, RED]),
+        Rank(rng.randrange(4)),
+        cpus=rng.choice([1.0, 2.0, 4.0]),
+        ran_s=rng.uniform(0, 100),
+        left_s=math.inf if service else rng.uniform(0.5, 200),
+        save_s=rng.choice([0.0, 0.0, 2.0]) if not service else 0.0,
+        limit_s=rng.choice([math.inf, 100.0, 30.0, -5.0]),
+        service=service,
+        replicas=4 if service else 0,
+        up=rng.randrange(1, 5) if service else 0,
+        gang=gang,
+        gang_cpus=3.0 * gang,
+        room_elsewhere=rng.random() < 0.6,
+    )
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_what_is_stopped_keeps_to_budgets_and_loses_nothing_that_ends_in_time(
+    seed: int,
+) -> None:
+    rng = random.Random(seed)
+    runs = [aboard(rng, number) for number in range(rng.randrange(1, 30))]
+    books = Disruptions(BUDGETS)
+    wholes = {BLUE: Whole(20, 60.0), RED: Whole(20, 60.0)}
+    found = draining.decide(runs, books, wholes, MonotonicTime(0.0))
+    chosen = {run.attempt for run in found.stops}
+    for team, most in ((BLUE, 3), (RED, 10)):
+        ours = [run.hit for run in found.stops if run.team == team]
+        assert sum(hit.tasks for hit in ours if not hit.service) <= most
+        assert sum(hit.cpus for hit in ours) <= 12.0 + 1e-6
+    for job in {run.attempt.task.job for run in found.stops if run.service}:
+        ours = [run for run in found.stops if run.attempt.task.job == job and run.service]
+        assert len({r.team for r in ours}) > 1 or (
+            len(ours) == 1 and ours[0].up - 1 >= 2 and ours[0].room_elsewhere
+        )
+    for run in runs:
+        if run.attempt in chosen and not run.service and not run.saves:
+            assert run.left_s > run.limit_s - draining.STOP_S
+        if run.limit_s == math.inf and not run.service and not run.saves:
+            assert run.attempt not in chosen
+
+
+def test_a_service_of_one_replica_stays_and_says_why() -> None:
+    """And one whose budget is zero: nothing moves."""
+    one = Aboard(
+        AttemptId(TaskId(JobId("job-000001"), 0), Attempt(1)),
+        HostId("m-1"), BLUE, Rank.HIGH, 4.0, 10.0, math.inf, 0.0, -1.0, True, 1, 1, 0, 0.0,
+        True,
+    )  # fmt: skip
+    for budgets, reason in (
+        (BUDGETS, "job-000001: at least 2 of its replicas stay up"),
+        (
+            Budgets(Budget(replicas=Amount(0.0), least_up=Amount(0.0))),
+            "0 of its replicas at once",
+        ),
+    ):
+        found = draining.decide([one], Disruptions(budgets), {}, MonotonicTime(0.0))
+        assert not found.stops and found.late == 1
+        assert reason in found.held_up[0]
+    free = Budgets(Budget(least_up=Amount(0.0), cpus=Amount(100.0)))
+    assert draining.decide([one], Disruptions(free), {}, MonotonicTime(0.0)).stops == [one]
+
+
+# -- steps -------------------------------------------------------------------------------------
+
+NORTH, SOUTH = Zone("north"), Zone("south")
+KINDS = [(TypeName("small"), zone, spot) for zone in (NORTH, SOUTH) for spot in (True, False)]
+
+
+class Fleet:
+    """Machines that a replacement works on, with clouds and workers that may fail it."""
+
+    def __init__(self, rng: random.Random, number: int, bad: float = 0.0) -> None:
+        self.rng, self.bad, self.now = rng, bad, 0.0
+        self.old = {
+            HostId(f"m-{i:06d}"): (KINDS[i % 4], rng.choice([0.0, 2.0, 4.0]))
+            for i in range(number)
+        }
+        self.fresh: dict[HostId, Fresh] = {}
+        self.booting: dict[HostId, float] = {}
+        self.capacity, self.free, self.waiting = 10**6, 0.0, 0.0
+        self.well = {NORTH, SOUTH}
+        self.least = dict.fromkeys((NORTH, SOUTH), number)
+        self.progress = Progress(mark=HostId("m-500000"))
+        self.writes = 0
+        self.largest = 0
+
+    def step(self) -> steps.Step:
+        self.now += 1.0
+        for name, at in list(self.booting.items()):
+            if self.now >= at:
+                bad = self.rng.random() < self.bad
+                self.fresh[name] = replace(self.fresh[name], up=not bad, bad=bad)
+                del self.booting[name]
+        for name in self.progress.hands:
+            if name in self.old and self.rng.random() < 0.2:
+                del self.old[name]
+        seen = Seen(
+            WallTime(self.now),
+            tuple(Old(name, kind, busy) for name, (kind, busy) in self.old.items()),
+            tuple(self.fresh.values()),
+            self.well,
+            boot_s=20.0,
+            refused=set() if self.capacity > 0 else set(KINDS),
+            waiting_cpus=self.waiting,
+            fleet_cpus=400.0,
+            free_cpus=self.free,
+        )
+        step = steps.next_step(self.progress, seen)
+        if step.progress != self.progress:
+            self.writes += 1
+            taken = set(step.progress.hands) - set(self.progress.hands)
+            assert len({self.old[name][0] for name in taken}) <= 1
+            self.largest = max(self.largest, len(taken))
+        self.progress = step.progress
+        for _ in range(min(step.rent, self.capacity)):
+            self.capacity -= 1
+            name = HostId(f"m-{900000 + len(self.fresh):06d}")
+            assert self.progress.of is not None
+            self.fresh[name] = Fresh(name, self.progress.of, False, False)
+            self.booting[name] = self.now + self.rng.uniform(10, 25)
+        return step
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_all_of_a_fleet_is_replaced_in_ever_larger_steps(seed: int) -> None:
+    rng = random.Random(seed)
+    fleet = Fleet(rng, 600)
+    for _ in range(4000):
+        if rng.random() < 0.01:  # a next leader knows what is durable
+            fleet.progress = decode_progress(encode_progress(fleet.progress))
+        if rng.random() < 0.01:
+            fleet.well ^= {rng.choice([NORTH, SOUTH])}
+        fleet.step()
+        if fleet.progress.stage.final:
+            break
+    assert fleet.progress.stage is Stage.DONE and not fleet.old
+    assert 10 < fleet.largest <= 50
+    assert fleet.writes < 0.2 * 600, fleet.writes
+
+
+def test_it_halts_by_itself_when_fresh_machines_fail() -> None:
+    fleet = Fleet(random.Random(1), 100, bad=1.0)
+    while not fleet.progress.stage.final:
+        step = fleet.step()
+    assert fleet.progress.stage is Stage.HALTED and "fresh machines" in fleet.progress.why
+    assert len(fleet.old) == 100 and not fleet.progress.hands
+    assert step.give_up
+
+
+def test_without_capacity_it_goes_only_as_far_as_the_work_fits_elsewhere() -> None:
+    fleet = Fleet(random.Random(2), 40)
+    fleet.capacity = 0
+    fleet.old = {name: (kind, 4.0) for name, (kind, _) in fleet.old.items()}
+    for _ in range(300):
+        assert fleet.step().progress.stage is not Stage.EMPTY
+    assert len(fleet.old) == 40
+    fleet.free = 9.0
+    for _ in range(10):
+        fleet.step()
+    assert fleet.largest == 2
+
+
+def test_a_burst_and_a_lost_zone_hold_it_up() -> None:
+    fleet = Fleet(random.Random(3), 40)
+    while fleet.progress.wave < 2:
+        fleet.step()
+    while fleet.progress.stage is not Stage.BAKE:
+        fleet.step()
+    fleet.waiting = 100.0
+    for _ in range(40):
+        step = fleet.step()
+    assert step.hold_up == "work waits for room" and fleet.progress.stage is Stage.BAKE
+    fleet.waiting = 0.0
+    while fleet.progress.stage is not Stage.EMPTY:
+        fleet.step()
+    assert fleet.progress.of is not None
+    zone = fleet.progress.of[1]
+    fleet.well.discard(zone)
+    fleet.step()
+    # What is in hand there is in service again, and the next wave is in the other zone.
+    assert not fleet.progress.hands and fleet.progress.of[1] != zone
+
+
+# -- orders and settings ------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_orders_come_back_as_they_were_written(seed: int) -> None:
+    rng = random.Random(seed)
+    row = {
+        "kind": rng.choice(["drain", "replace"]),
+        "hosts": [f"m-{rng.randrange(99)}"] * rng.randrange(2),
+        "types": ["big"] * rng.randrange(2),
+        "zones": ["north"],
+        "spot": rng.choice([None, True, False]),
+        "older_s": rng.choice([None, 60.0]),
+        "share": rng.choice([None, 0.25]),
+        "by": rng.choice([None, 9e8]),
+        "reason": rng.choice(["", "new kernel"]),
+    }
+    order = read_order(OrderId("o-1"), row)
+    again = decode_order(OrderId("o-1"), encode_order(order), Revision(0))
+    assert again == order and order.same_as(again)
+    with pytest.raises(BadMessage, match="format"):
+        decode_order(OrderId("o-1"), encode_order(order) | {"f": 2}, Revision(0))
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        {"kind": "drain"},
+        {"kind": "burn", "zones": ["north"]},
+        {"kind": "drain", "zones": "north"},
+        {"kind": "drain", "share": 1.5},
+        {"kind": "drain", "zones": ["north"], "to": "big"},
+        {"kind": "replace", "zones": ["north"], "keep": True},
+        {"kind": "drain", "zones": ["north"], "from": 20, "by": 10},
+        {"kind": "drain", "hosts": [f"m-{n}" for n in range(101)]},
+    ],
+)
+def test_bad_orders_are_refused_with_a_line(row: dict[str, object]) -> None:
+    with pytest.raises(BadMessage) as told:
+        read_order(OrderId("o-1"), row)
+    assert "\n" not in str(told.value)
+
+
+def test_a_share_is_the_same_for_every_leader_and_an_age_is_a_name() -> None:
+    share = Order(OrderId("o"), OrderKind.DRAIN, Selection(share=0.25), WallTime(0.0))
+    host = TypeName("small"), NORTH, False
+    meant = [n for n in range(1000) if share.selection.means(HostId(f"m-{n:06d}"), *host)]
+    assert 200 < len(meant) < 300
+    assert scope.marked(share)
+    assert not Selection(share=0.5).whole(*host) and Selection(zones=(NORTH,)).whole(*host)
+    assert not Selection(zones=(SOUTH,)).whole(*host)
+
+
+def test_spans_and_moments() -> None:
+    assert [span_s(t) for t in ("90", "90s", "1.5m", "2h", "1d")] == [90, 90, 90, 7200, 86400]
+    assert moment_s("+2m", 1e9) == 1e9 + 120 and moment_s("1700000000", 0.0) == 1.7e9
+    for text in ("", "m", "-5s", "2 h", "soon"):
+        with pytest.raises(ValueError):
+            span_s(text)
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ('(disruption (default (tasks "x%")))', "default: tasks: not a percentage"),
+        ('(disruption (default (tasks "120%")))', "must be 0% to 100%"),
+        ("(disruption (default (tusks 3)))", "tusks: no such amount"),
+        ('(disruption (team "blue" (tasks 1)) (team "blue"))', "team blue: named twice"),
+        ("(disruption (team blue (tasks 1)))", "team: must be"),
+        ("(disruption (default (window-s -1)))", "must be a number of at least 0"),
+        ("(disruption (bind-all 2))", "bind-all: must be 0 or 1"),
+        ("(operator-port 70000)", "operator-port: must be a port"),
+    ],
+)
+def test_bad_budgets_are_one_line(tmp_path: Path, text: str, said: str) -> None:
+    file = tmp_path / "operator.sexp"
+    file.write_text(f"(dunehold {text})")
+    with pytest.raises(SettingsError, match=said):
+        load_operator(file)
+
+
+def test_budgets_are_read(tmp_path: Path) -> None:
+    file = tmp_path / "operator.sexp"
+    file.write_text(
+        '(dunehold (operator-port 8082) (disruption (default (tasks "20%") (window-s 30))'
+        ' (team "blue" (cpus 40) (replicas 2)) (bind-all 1)))'
+    )
+    found = load_operator(file)
+    blue = found.disruption.of(BLUE)
+    assert found.operator_port == 8082 and found.disruption.bind_all
+    assert (blue.tasks, blue.cpus, blue.window_s) == (Amount(share=0.2), Amount(40.0), 30.0)
+    assert found.disruption.of(RED).replicas == Amount(1.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -203,6 +203,7 @@
         if node is None:
             raise ConnectionRefusedError
         serve = node.handle_peer if target.startswith("/peer/") else node.handle
+        serve = node.handle_operator if target.startswith("/operators/") else serve
         loop = asyncio.get_running_loop()
         request = Request(method, target, {}, body or b"")
         response = await loop.create_task(serve(request), context=self.context)
