Plans ask by kind of machine what all of a kind have in common, and keep what frees up

Whether a job may use a machine is asked once a kind in each look, not of every machine; when room frees up on a machine is kept for as long as it is pictured alike; a booting machine is pictured anew twice a second and when it answers, not in every plan.

--- a/dunehold/coordination/picture/picture.py
+++ b/dunehold/coordination/picture/picture.py
@@ -68,6 +68,7 @@
 
     host: Host
     version: int
+    usable: bool  # had answered, and was on record
     until: float
     state: HostState
 
@@ -176,16 +177,18 @@
     def host_states(self, now: MonotonicTime) -> list[HostState]:
         """Usable machines. What was pictured is used again until something changes."""
         hosts = []
+        silent_s = self.silent_s
         for host in self.ledger.hosts.values():
             if host.draining is not None or host.deleting or host.fenced:
                 continue
-            if host.known and now - host.heard_at > self.silent_s:
+            if host.known and now - host.heard_at > silent_s:
                 continue  # a start would hang with it, and hold up its task
             pictured = self._states.get(host.id)
             if (
                 pictured is None
                 or pictured.host is not host
                 or pictured.version != host.version
+                or pictured.usable is not (host.known and host.recorded)
                 or now >= pictured.until
             ):
                 if host.type not in self.types:
@@ -362,7 +365,8 @@
         ready = 0.0
         if not host.known or not host.recorded:
             ready = max(now + 1.0, host.created_at + kind.boot_s)
-            until = now  # it may be up any moment: look again
+            # It may be up any moment, which is a change; if not, look again before that.
+            until = max(now + 0.5, host.created_at + kind.boot_s - 0.5)
         penalty = self.zones.penalty_s(host.zone)
         if host.error_at is not None and now - host.error_at < SUSPECT_S:
             penalty += SUSPECT_PENALTY_S
@@ -391,7 +395,7 @@
             ),
             closes_at=self.closes_at(host, now),
         )
-        return _Pictured(host, host.version, until, state)
+        return _Pictured(host, host.version, host.known and host.recorded, until, state)
 
     @staticmethod
     def _cached(host: Host, kind: MachineType) -> list[Image]:
--- a/dunehold/coordination/scheduler/clearing.py
+++ b/dunehold/coordination/scheduler/clearing.py
@@ -93,9 +93,9 @@
         wait = min(max(shadow_s, entry.run_s), LONGEST_WAIT_S)
         worth = wait * max(entry.need.cpus, 1.0)
         options: list[tuple[float, HostId, HostState, list[RunState]]] = []
-        for group in self._groups_for(entry):
+        for group in self._suiting(entry):
             for host in group.hosts.values():
-                if host.ready_at > self.now or not self._suits(entry, host):
+                if host.ready_at > self.now:
                     continue
                 if host.lowest >= below and not (below == entry.rank and entry.guaranteed):
                     continue  # nothing there may be stopped for it
--- a/dunehold/coordination/scheduler/floor.py
+++ b/dunehold/coordination/scheduler/floor.py
@@ -79,6 +79,7 @@
         self.own_promise: dict[Like, float] = {}  # to the entry that was placed last
         self._borrowed: set[AttemptId] | None = None
         self._lowest: Rank | None = None
+        self.group_of: dict[HostId, Group] = {}
         for host in snapshot.hosts:
             key = (host.type, host.zone, host.spot)
             group = self.groups.get(key)
@@ -86,6 +87,7 @@
                 weight = snapshot.scarcity.get((host.type, host.spot), 0.0)
                 group = self.groups[key] = Group(key, host, weight)
             group.hosts[host.id] = host
+            self.group_of[host.id] = group
             if host.ready_at <= self.now:
                 self.idle_room += max(0.0, host.free.cpus)
                 if host.free.cpus >= self.least_cpus - 1e-6:
@@ -96,7 +98,7 @@
             yield from group.hosts.values()
 
     def _group(self, host: HostState) -> Group:
-        return self.groups[host.type, host.zone, host.spot]
+        return self.group_of[host.id]
 
     def _mine(self, host: HostState) -> HostState:
         """A copy that this plan may write to."""
@@ -117,7 +119,7 @@
         ]
 
     def _host(self, host_id: HostId) -> HostState:
-        return next(g.hosts[host_id] for g in self.groups.values() if host_id in g.hosts)
+        return self.group_of[host_id].hosts[host_id]
 
     def _cost(self, entry: Entry, host: HostState) -> tuple[float, float, HostId, HostState]:
         scarcity = self._group(host).scarcity
@@ -137,20 +139,14 @@
 
     def _slots(self, need: Room, groups: list[Group]) -> list[float]:
         """When room for such a task frees up in the groups, one moment a task, as things
-        stood when this was first asked."""
+        stood when this was first asked; moments that are past stand for now."""
         key = (tuple(group.key for group in groups), need)
         found = self.slots.get(key)
         if found is None:
             found = []
-            for host in [host for group in groups for host in group.hosts.values()]:
-                free = host.free
-                fits = free.copies(need)
-                found.extend([max(host.ready_at, self.now)] * fits)
-                for run in sorted(host.runs, key=lambda r: r.ends_at):
-                    free = free.plus(run.need)
-                    more = free.copies(need) - fits
-                    found.extend([max(host.ready_at, run.ends_at)] * more)
-                    fits += more
+            for group in groups:
+                for host in group.hosts.values():
+                    found.extend(host.moments(need))
             found.sort()
             self.slots[key] = found
         return found
@@ -161,16 +157,24 @@
         return host.free if claimed is None else host.free.minus(claimed)
 
     def _fits_now(self, entry: Entry, host: HostState) -> bool:
+        return self._has_room(entry, host) and self._suits(entry, host)
+
+    def _has_room(self, entry: Entry, host: HostState) -> bool:
+        """On a machine of a group that suits the entry; asked for machine by machine."""
         if host.slowness > 1.0 and entry.patience_s < (host.slowness - 1.0) * entry.run_s:
             return False  # it would miss an aim there that it can still meet
         if host.closes_at < NEVER and self._closes(entry, host):
             return False
-        return self._unclaimed(host).holds(entry.need) and self._suits(entry, host)
+        return self._unclaimed(host).holds(entry.need)
 
     def _closes(self, entry: Entry, host: HostState) -> bool:
         """The machine goes out of service before a task begun now could end there."""
         return self.now + entry.lasts_s + fetch_s(entry, host) > host.closes_at
 
+    def _suiting(self, entry: Entry) -> list[Group]:
+        """Groups whose machines it may use as its job's tasks are placed just now."""
+        return [g for g in self._groups_for(entry) if self._suits(entry, g.sample)]
+
     @staticmethod
     def _suits(entry: Entry, host: HostState) -> bool:
         if not entry.allowed(host):
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -218,15 +218,16 @@
         full = any(entry.need.holds(need) for need in failures)
         if full:
             places = [self._host(host) for host in self.reserved]
-            hosts = [h for h in places if entry.allowed(h) and h.ready_at <= self.now]
+            hosts = [h for h in places if self._suits(entry, h) and h.ready_at <= self.now]
         else:
-            hosts = [h for group in groups for h in group.open.values()]
+            suiting = [group for group in groups if self._suits(entry, group.sample)]
+            hosts = [h for group in suiting for h in group.open.values()]
         found = []
         free_of_holds = False
         # Whether a need finds no room is told to others only if nothing else decided it.
         picky = bool(entry.zone_limit or entry.one_zone)
         for host in hosts:
-            if not self._fits_now(entry, host):
+            if not self._has_room(entry, host):
                 picky = picky or host.slowness > 1.0 or host.closes_at < NEVER
                 continue
             if host.id in self.reserved:
@@ -278,10 +279,8 @@
         best: HostState | None = None
         best_at = NEVER
         held = self.held.get(entry.job)
-        for group in self._groups_for(entry):
+        for group in self._suiting(entry):
             for host in group.hosts.values():
-                if not self._suits(entry, host):
-                    continue
                 if host.closes_at < NEVER and self._closes(entry, host):
                     continue
                 hold = self.reserved.get(host.id)
--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -66,6 +66,11 @@
     background: bool = False  # some run is in the background tier
     first_end: float = 0.0  # no foreground run ends before it
     lowest: Rank = Rank.PRODUCTION  # of the runs on it
+    # When room for a need frees up there, one moment a task. Kept from plan to plan, for as
+    # long as the machine is pictured alike; a copy begins without.
+    _moments: dict[Room, list[float]] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
 
     def __post_init__(self) -> None:
         self._summarise()
@@ -81,7 +86,25 @@
     def copy(self) -> HostState:
         return replace(self)
 
+    def moments(self, need: Room) -> list[float]:
+        """When room for each further such task is there, on the snapshot's clock; what fits
+        already counts from when the machine is ready."""
+        found = self._moments.get(need)
+        if found is None:
+            free = self.free
+            fits = free.copies(need)
+            found = [self.ready_at] * fits
+            for run in sorted(self.runs, key=lambda r: r.ends_at):
+                free = free.plus(run.need)
+                more = free.copies(need) - fits
+                if more > 0:
+                    found.extend([max(self.ready_at, run.ends_at)] * more)
+                    fits += more
+            self._moments[need] = found
+        return found
+
     def add(self, run: RunState, image: Image) -> None:
+        self._moments.clear()
         self.free = self.free.minus(run.need)
         if image not in self.images:
             self.images |= {image}
@@ -94,6 +117,7 @@
             self.first_end = run.ends_at
 
     def change(self, old: RunState, new: RunState) -> None:
+        self._moments.clear()
         self.runs = tuple(new if run is old else run for run in self.runs)
         self._summarise()
 
