--- a/dunehold/coordination/scheduler/floor.py
+++ b/dunehold/coordination/scheduler/floor.py
@@ -24,6 +24,7 @@
     Attempt,
     AttemptId,
     HostId,
+    JobId,
     Rank,
     Room,
     TaskId,
@@ -80,6 +81,8 @@
         self._borrowed: set[AttemptId] | None = None
         self._lowest: Rank | None = None
         self.group_of: dict[HostId, Group] = {}
+        self._allowed: dict[JobId, list[Group]] = {}
+        self._types: dict[JobId, list[tuple[Like, list[Group]]]] = {}
         for host in snapshot.hosts:
             key = (host.type, host.zone, host.spot)
             group = self.groups.get(key)
@@ -112,11 +115,15 @@
         return copy
 
     def _groups_for(self, entry: Entry) -> list[Group]:
-        return [
-            group
-            for group in self.groups.values()
-            if group.sample.total.holds(entry.need) and entry.allowed(group.sample)
-        ]
+        """What its job may use at all; the same for the whole plan."""
+        found = self._allowed.get(entry.job)
+        if found is None:
+            found = self._allowed[entry.job] = [
+                group
+                for group in self.groups.values()
+                if group.sample.total.holds(entry.need) and entry.allowed(group.sample)
+            ]
+        return found
 
     def _host(self, host_id: HostId) -> HostState:
         return self.group_of[host_id].hosts[host_id]
@@ -130,12 +137,20 @@
         return (wait, host.free.cpus - entry.need.cpus, host.id, host)
 
     def _types_for(self, entry: Entry) -> list[tuple[Like, list[Group]]]:
-        """By type; spot machines apart from ordinary ones where some work needs those."""
+        """By type; spot machines apart from ordinary ones where some work needs those. The least
+        scarce come first."""
+        bound = entry.one_zone or entry.zone_limit is not None  # by where its tasks are by then
+        known = None if bound else self._types.get(entry.job)
+        if known is not None:
+            return known
         types: dict[Like, list[Group]] = {}
         for group in self._groups_for(entry):
             if self._suits(entry, group.sample):
                 types.setdefault((group.key[0], group.scarcity), []).append(group)
-        return list(types.items())
+        found = sorted(types.items(), key=lambda kind: kind[0][1])
+        if not bound:
+            self._types[entry.job] = found
+        return found
 
     def _slots(self, need: Room, groups: list[Group]) -> list[float]:
         """When room for such a task frees up in the groups, one moment a task, as things
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -263,7 +263,9 @@
         """What waits will take the room that frees up first, the least scarce before."""
         left = max(0, min(len(entry.waiting), entry.team_slots))
         self.own_promise = {}
-        for kind, groups in sorted(self._types_for(entry), key=lambda t: t[1][0].scarcity):
+        for kind, groups in self._types_for(entry):
+            if left <= 0:
+                break  # nothing is promised of the others
             copies = groups[0].sample.total.copies(entry.need)
             taken = min(left, copies * sum(len(group.hosts) for group in groups))
             self.slots_taken[kind] = self.slots_taken.get(kind, 0) + taken
