--- a/dunehold/coordination/scheduler/floor.py
+++ b/dunehold/coordination/scheduler/floor.py
@@ -137,8 +137,8 @@
         return (wait, host.free.cpus - entry.need.cpus, host.id, host)
 
     def _types_for(self, entry: Entry) -> list[tuple[Like, list[Group]]]:
-        """By type; spot machines apart from ordinary ones where some work needs those. The least
-        scarce come first."""
+        """By type, the least scarce first; spot machines apart from ordinary ones where some
+        work needs those."""
         bound = entry.one_zone or entry.zone_limit is not None  # by where its tasks are by then
         known = None if bound else self._types.get(entry.job)
         if known is not None:
