The lead goes to the larger side of a partition

A leader on the smaller side of a partition stayed, and the larger side started nothing for as long as it lasted. It now names the zone that should lead, durably, and gives way, if that zone works on (a node there feeds its workers), has one and a half times the machines that it hears, and was lost in its own term. Nodes elsewhere let one of that zone stand first, for 2 s.

--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -39,6 +39,7 @@
 PACKING = PREFIX + "packing"  # whether packs of submissions may be written
 BROKEN = PREFIX + "broken"  # jobs that fail on every machine, for the next leader
 ZONES = PREFIX + "zones"  # those that are not well, for the next leader
+SUCCESSOR = PREFIX + "successor"  # the zone that should lead next, and after which token
 ORDERS = PREFIX + "orders/"  # of operators, one key each
 ORDERS_SERIAL = PREFIX + "orders-serial"  # raised with every change of an order
 UPKEEP = PREFIX + "upkeep/"  # how far the leader is with each order
@@ -264,6 +265,16 @@
     return RelayRecord(Zone(codec.text(value, "zone")), Token(codec.count(value, "token")))
 
 
+def encode_successor(zone: Zone, token: Token) -> dict[str, Any]:
+    return {"zone": zone, "token": token}
+
+
+def decode_successor(value: Any) -> tuple[Zone, Token]:
+    if not isinstance(value, dict):
+        raise BadMessage("successor record")
+    return Zone(codec.text(value, "zone")), Token(codec.count(value, "token"))
+
+
 def encode_zones(zones: dict[Zone, ZoneRecord]) -> dict[str, list[Any]]:
     return {zone: [r.condition, r.flaps, r.size] for zone, r in sorted(zones.items())}
 
--- a/dunehold/bookkeeping/view.py
+++ b/dunehold/bookkeeping/view.py
@@ -37,6 +37,7 @@
     records.BROKEN,
     records.PACKING,
     records.ZONES,
+    records.SUCCESSOR,
     records.UPKEEP,
     records.DISRUPTIONS,
 )
@@ -62,6 +63,7 @@
     versions: dict[str, Revision] = field(default_factory=dict)
     broken: set[JobId] = field(default_factory=set)  # found to fail on every machine
     zones: dict[Zone, records.ZoneRecord] = field(default_factory=dict)  # not well
+    successor: tuple[Zone, Token] | None = None  # who should lead after that token
     orders: dict[OrderId, Order] = field(default_factory=dict)  # of operators
     upkeep: dict[OrderId, Progress] = field(default_factory=dict)
     orders_serial: Revision = Revision(0)  # of the key that every change of an order raises
@@ -133,6 +135,10 @@
                 self.broken = set() if change.deleted else records.decode_broken(change.value)
             elif key == records.ZONES:
                 self.zones = {} if change.deleted else records.decode_zones(change.value)
+            elif key == records.SUCCESSOR:
+                self.successor = (
+                    None if change.deleted else records.decode_successor(change.value)
+                )
             elif key.startswith(records.ORDERS):
                 self._apply_order(OrderId(key[len(records.ORDERS) :]), change)
             elif key == records.ORDERS_SERIAL:
--- a/dunehold/coordination/durable/recorder.py
+++ b/dunehold/coordination/durable/recorder.py
@@ -81,6 +81,7 @@
     starts: dict[AttemptId, Run] = field(default_factory=dict)
     new_broken: set[JobId] | None = None  # to be written
     new_zones: dict[Zone, ZoneRecord] | None = None  # to be written
+    new_successor: Zone | None = None  # to be written
     upkeep: dict[OrderId, Progress | None] = field(default_factory=dict)  # None: to be deleted
     _disruptions: Any = None  # as they are to be written
     _disruptions_asked: int = 0  # how often there was more to write
@@ -165,6 +166,15 @@
             self._written.clear()
             await self._written.wait()
 
+    async def name_successor(self, zone: Zone) -> None:
+        """Return once it is durable which zone should lead after this token. A hint: who leads
+        is decided as ever, and others stand if nobody there does."""
+        self.new_successor = zone
+        self._wake.set()
+        while self.new_successor is not None:
+            self._written.clear()
+            await self._written.wait()
+
     def end_rental(self, rental: RentalId) -> None:
         self.ended_rentals[rental] = None
         self._wake.set()
@@ -208,6 +218,7 @@
             or self.new_zones is not None
             or self._disruptions_written < self._disruptions_asked
             or self.upkeep
+            or self.new_successor is not None
         )
 
     async def _flush(self) -> None:
@@ -237,6 +248,9 @@
         asked = self._disruptions_asked
         if self._disruptions_written < asked and txn.size < limit:
             txn.puts[records.DISRUPTIONS] = self._disruptions
+        successor = self.new_successor
+        if successor is not None and txn.size < limit:
+            txn.puts[records.SUCCESSOR] = records.encode_successor(successor, self.token)
         upkeep = self._order_changes(txn, limit)
         jobs = []
         for job in list(self.dirty_jobs):
@@ -279,6 +293,8 @@
             self.new_zones = None
         if records.DISRUPTIONS in txn.puts:
             self._disruptions_written = asked
+        if records.SUCCESSOR in txn.puts:
+            self.new_successor = None
         for order, progress in upkeep.items():
             if self.upkeep.get(order, _MISSING) is progress:
                 del self.upkeep[order]
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -56,6 +56,7 @@
 RUNNING_AGE_S = 1.0
 SERVED_S = 60.0  # between lines of the log on what is served, and what was late
 ABSTAIN_S = 6.0
+SUCCESSOR_S = 2.0  # that others wait for a node of the zone that should lead next
 MOST_PATIENCE = 16  # of terms in which no worker was heard: leadership must not go round
 RESERVED_SOCKETS = 64  # for the state service, the cloud and peers
 BARRIER_GAP_S = 0.08
@@ -102,6 +103,7 @@
     _running_counts: dict[JobId, int] = field(default_factory=dict)
     _running_at: MonotonicTime = MonotonicTime(-1e9)
     _abstain_until: MonotonicTime = MonotonicTime(-1e9)  # others should lead, if they can
+    _vacant_since: MonotonicTime | None = None  # seen by a node that lets others go first
     _deaf_terms: int = 0  # led in a row without hearing a worker
     _resigning: set[asyncio.Task[None]] = field(default_factory=set)
     _election: asyncio.Event = field(default_factory=asyncio.Event)
@@ -353,6 +355,8 @@
                 self.leader.orders_changed()
         elif self._vacant():
             self._election.set()
+        else:
+            self._vacant_since = None
 
     def _vacant(self) -> bool:
         """Nobody leads, or this node's own earlier life, which is over."""
@@ -369,7 +373,7 @@
                 await self._renew()
                 await asyncio.sleep(renew)
                 continue
-            abstains = self.now() < self._abstain_until
+            abstains = self.now() < max(self._abstain_until, self._others_first_until())
             if self.types is not None and self._vacant() and not abstains:
                 try:
                     await self._stand()
@@ -388,6 +392,20 @@
                 except TROUBLE as error:
                     log.debug("refresh: %s", error)
 
+    def _others_first_until(self) -> MonotonicTime:
+        """A node of another zone should lead next: it is given a moment to stand."""
+        named = self.view.successor
+        if (
+            named is None
+            or named[0] == self.settings.zone
+            or named[1] != self.view.token
+            or not self._vacant()
+        ):
+            return MonotonicTime(-1e9)
+        if self._vacant_since is None:
+            self._vacant_since = self.now()
+        return MonotonicTime(self._vacant_since + SUCCESSOR_S)
+
     async def _stand(self) -> None:
         life = Duration(self.settings.operator.leader_lease_s)
         await self.sync.barrier()
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -46,6 +46,7 @@
     TypeName,
     WallTime,
     Why,
+    Zone,
 )
 
 log = logging.getLogger(__name__)
@@ -103,6 +104,7 @@
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _reported_known: bool = False
     heard: bool = False  # any worker, in this term
+    _yielding: bool = False
     _heard_at: MonotonicTime = MonotonicTime(math.inf)  # when any worker came last
     # Since when it could hear its workers without a break. Who stood still, or answered
     # nobody for want of proof, must not take its own silence for that of the machines.
@@ -565,6 +567,10 @@
             if self.may_start():  # else it may be this node that is cut off
                 for zone in self.zones.step(now, self.attentive_since):
                     self.picture.look_again(zone)
+                larger = self.zones.larger_side(now) if self.zones.any_lost else None
+                if larger is not None and not self._yielding:
+                    self._yielding = True
+                    self.spawn(self._yield_to(larger))
             self._lost(self.ledger.expire(min(now, self.proved_at())))
             self._check_known()
             self.care.step(now)
@@ -587,6 +593,16 @@
                 logged_at = now
                 self._log_fleet()
 
+    async def _yield_to(self, zone: Zone) -> None:
+        """Most machines are beyond a partition, and work on there: a node there should lead.
+
+        Nothing is given up that a takeover would not give up: the next leader rebuilds from
+        reports, and what runs on this side is fed by a follower as it was on the other.
+        """
+        log.info("token %d: most machines are in %s, which should lead", self.token, zone)
+        await self.recorder.name_successor(zone)
+        self.deposed()
+
     def _note_limits(self) -> None:
         for progress in self.progress.values():
             if progress.waiting and not self.ledger.team_allows(progress.spec):
--- a/dunehold/coordination/zones/watch.py
+++ b/dunehold/coordination/zones/watch.py
@@ -27,6 +27,7 @@
 WATCHERS = 2  # silent machines that are kept, to hear of the return
 FIRST_PROBE_S, MOST_PROBE_S = 30.0, 300.0  # between probes, where no machine is left to hear
 STEP_SHARE, LEAST_STEP = 0.1, 4  # of its former size, rented before a zone is trusted
+YIELD_RATIO = 1.5  # times the machines heard: a zone that works on without us takes the lead
 FLAP_PENALTY_S, MOST_PENALTY_S = 15.0, 60.0  # of machines in a zone that flaps
 
 
@@ -166,6 +167,34 @@
         """A node there feeds its workers, which go on with what they have."""
         return now < self.ledger.relayed.get(zone, MonotonicTime(-1e9))
 
+    def larger_side(self, now: MonotonicTime) -> Zone | None:
+        """A zone beyond a partition with so many more machines that the lead belongs there.
+
+        A node there feeds its workers, so it reaches the state service and can lead; all that
+        is idle or ends there waits for a leader that it can hear. Never for a zone that flaps:
+        the lead would go with it; and only by a loss that this leader saw itself, from a zone
+        that is there: one that takes over there finds the zone lost by record.
+        """
+        if self.lost(self.settings.zone):
+            return None
+        saw_since = self.ledger.took_over_at + self.silent_s
+        heard = sum(
+            now - host.spoke_at <= self.silent_s and not self.lost(host.zone)
+            for host in self.ledger.hosts.values()
+        )
+        nodes = {peer.zone for peer in self.settings.peers}
+        for zone, health in self.zones.items():
+            if (
+                health.condition is Condition.LOST
+                and not health.flaps
+                and health.since > saw_since
+                and zone in nodes
+                and self.fed(zone, now)
+                and health.size > YIELD_RATIO * max(heard, 1)
+            ):
+                return zone
+        return None
+
     def written_off(self, host: Host) -> bool:
         """Not counted on when machines are rented: it is silent in a lost zone."""
         return not host.known and self.lost(host.zone)
--- a/tests/test_zone_loss.py
+++ b/tests/test_zone_loss.py
@@ -301,3 +301,43 @@
     monkeypatch.setattr("tests.test_rules.END_S", 130.0)
     world = play(250, hundreds_return, nodes=5)
     assert world.kept > 0.8, world.kept
+
+
+async def partition_with_the_leader_on_the_smaller_side(world: World) -> None:
+    """How many tasks begin in the larger zone from 15 s after the partition to its end."""
+    larger, smaller = ZONES
+    for kind in world.cloud.cloud.capacity:
+        world.cloud.cloud.capacity[kind] += 12 if kind.hall == larger else -1
+    await asyncio.sleep(20.0)
+    for box in world.nodes[::2]:  # those of the larger zone
+        world.spawn(box.restart(6.0))
+    await asyncio.sleep(20.0)
+    world.spawn(world.network.for_a_while(larger, smaller, "hold", 45.0))
+    await asyncio.sleep(15.0)
+    began: set[str] = set()
+    seen: set[str] = set()
+    until = world.now() + 30.0
+    first = True
+    while world.now() < until:
+        for agent in world.cloud.workers.values():
+            if agent.worker.machine.hall == larger:
+                began |= {f"{key}" for key in agent.worker.tasks} - seen
+        if first:
+            seen, began, first = began, set(), False
+        await asyncio.sleep(0.5)
+    world.waited = float(len(began - seen))
+    world.led = sum(n.node is not None and n.node.leader is not None for n in world.nodes[::2])
+
+
+def test_the_lead_goes_to_the_larger_side_of_a_partition(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The smaller side kept it, and the larger one started nothing for as long as it lasted."""
+    seeds = (260, 262, 263)
+    day = partition_with_the_leader_on_the_smaller_side
+    yielded = [play(seed, day, nodes=5) for seed in seeds]
+    assert all(world.led for world in yielded)
+    monkeypatch.setattr(ZoneWatch, "larger_side", lambda *_: None)
+    kept = [play(seed, day, nodes=5) for seed in seeds]
+    assert not any(world.led for world in kept)
+    assert sum(w.waited for w in kept) < 0.2 * sum(w.waited for w in yielded)
