A lease that a follower renews for a new leader is not counted as over by it

A follower beyond the partition went on feeding its workers for the new leader; that one asked for the follower's key only of machines that it had heard itself, counted the others out by the leader before, and started their tasks elsewhere. The lease now counts from what a follower of that zone may have fed, heard or not.

--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -168,10 +168,14 @@
         return lost
 
     def _lease_over(self, host: Host, now: MonotonicTime) -> bool:
+        lease_s = self.lease_s * DRIFT + LEASE_MARGIN_S
+        relayed = self.relayed.get(host.zone)
+        if relayed is not None and now <= relayed + lease_s:
+            # Fed for this leader, too, beyond a cut: also a machine that it has never heard.
+            return False
         if host.fed_at is not None:
             # The lease counts from when the report was sent, which is before it came.
-            fed_at = max(host.fed_at, self.relayed.get(host.zone, host.fed_at))
-            if now <= fed_at + self.lease_s * DRIFT + LEASE_MARGIN_S:
+            if now <= host.fed_at + lease_s:
                 return False
             if host.confirmed:
                 return True
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -92,6 +92,45 @@
     assert "not_done" in out
 
 
+def test_operators_orders_through_the_command_line(net: int, tmp_path: Path) -> None:
+    """At any controller; a leader that is killed leaves the order to the next."""
+    scenario = ROOT / "deploy" / "emulator" / "replace.toml"
+    up = dunehold("up", scenario, "--net", net, "--directory", tmp_path)
+    doors = [("--server", f"127.{net}.0.{number}:8082") for number in (10, 11, 12)]
+
+    def told(*words: str) -> dict[str, Any]:
+        deadline = time.monotonic() + 60.0
+        while True:
+            for door in doors:
+                code, out, _ = finish(dunehold(*words, *door, "--json"))
+                if code == 0:
+                    return dict(orjson.loads(out))
+            assert time.monotonic() < deadline, words
+            time.sleep(0.5)
+
+    try:
+        assert up.stdout is not None
+        up.stdout.readline()
+        drain = ("drain", "--zone", "north", "--id", "out", "--reason", "power")
+        row = told(*drain)
+        assert (row["kind"], row["zones"], row["wish"]) == ("drain", ["north"], "go")
+        assert told(*drain)["made"] == row["made"]  # once, however often it is said
+        code, _, err = finish(dunehold("drain", "--zone", "south", "--id", "out", *doors[0]))
+        assert (code, err.count("\n")) == (1, 1) and "order out" in err
+        code, _, err = finish(dunehold("drain", "--type", "tiny", *doors[1]))
+        assert (code, err.count("\n")) == (2, 1) and "tiny" in err
+        kill = '{"kind":"controllers","do":"kill","node":"leader","back_s":1.0}'
+        assert finish(dunehold("fault", kill, "--control", f"127.{net}.0.4:9400"))[0] == 0
+        assert told("show", "out")["stage"] in ("new", "draining")
+        undrained = told("undrain", "out")
+        assert undrained["wish"] == "abort"
+        code, out, _ = finish(dunehold("orders", *doors[2]))
+        assert code == 0 and "out" in out and "serial" in out
+    finally:
+        up.send_signal(signal.SIGINT)
+        assert finish(up)[0] == 0
+
+
 def test_up_serves_a_first_job_and_ctrl_c_ends_all_that_it_started(
     net: int, tmp_path: Path
 ) -> None:
--- a/tests/test_zone_loss.py
+++ b/tests/test_zone_loss.py
@@ -341,3 +341,34 @@
     kept = [play(seed, day, nodes=5) for seed in seeds]
     assert not any(world.led for world in kept)
     assert sum(w.waited for w in kept) < 0.2 * sum(w.waited for w in yielded)
+
+
+async def leader_changes_during_a_partition(world: World) -> None:
+    """The next leader never hears the other zone, whose workers a follower there feeds with the
+    new leader's token, for longer than any lease of the leader before can last."""
+    for kind in world.cloud.cloud.capacity:
+        world.cloud.cloud.capacity[kind] += 4
+    await asyncio.sleep(30.0)
+    world.spawn(world.network.for_a_while(*ZONES, "hold", 60.0))
+    await asyncio.sleep(5.0)
+    for box in world.nodes:
+        if box.node is not None and box.node.leader is not None:
+            world.spawn(box.restart(8.0))
+
+
+class Lasting(World):
+    """Tasks that still run when a lease that nobody fed would be over."""
+
+    def make_job(self, number: int) -> dict[str, Any]:
+        job = super().make_job(number)
+        return job | {"real_s": 70.0, "expect_s": 70.0, "units": 4, "broken": False}
+
+
+@pytest.mark.parametrize("seed", range(270, 274))
+def test_what_is_fed_beyond_a_partition_is_not_counted_out_by_the_next_leader(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """A task ran twice: the lease of a machine that the next leader had never heard was taken
+    to be over, by the leader before, while a follower went on feeding it for the new one."""
+    monkeypatch.setattr("tests.test_rules.World", Lasting)
+    assert play(seed, leader_changes_during_a_partition, nodes=5).checker.starts > 20
