--- a/dunehold/coordination/scheduler/model.py
+++ b/dunehold/coordination/scheduler/model.py
@@ -26,6 +26,8 @@
     Zone,
 )
 
+MOST_NEEDS = 16  # remembered of a machine
+
 MachineKind = tuple[TypeName, bool]  # a type, spot or not
 
 
@@ -100,6 +102,8 @@
                 if more > 0:
                     found.extend([max(self.ready_at, run.ends_at)] * more)
                     fits += more
+            if len(self._moments) >= MOST_NEEDS:
+                self._moments.clear()  # a machine that stays idle is asked for each new job
             self._moments[need] = found
         return found
 
