Orders: what can't be read is spent for a window, fresh machines count for the wave in hand

Found in reading: an unreadable record of disruptions blocked one team for good and no other; with one type replacing several, fresh machines were counted for another kind than the wave's, and would have been asked for again and again; a service's least number is looked at again once its stop is durable.

--- a/dunehold/bookkeeping/disruptions.py
+++ b/dunehold/bookkeeping/disruptions.py
@@ -15,7 +15,7 @@
 
 from dunehold.budgets import Budgets
 from dunehold.protocol.codec import BadMessage
-from dunehold.types import EPSILON, JobId, MonotonicTime, TaskId, Team, WallTime
+from dunehold.types import EPSILON, MANY, JobId, MonotonicTime, TaskId, Team, WallTime
 
 FORMAT = 1
 
@@ -105,6 +105,14 @@
         window = self.budgets.of(hit.team).window_s
         self._add(_Row(hit, MonotonicTime(now + window), task, choice))
 
+    def block(self, teams: Iterable[Team], now: MonotonicTime) -> None:
+        """Nothing of theirs by choice for a window: what was spent is not known."""
+        for team in teams:
+            until = MonotonicTime(now + self.budgets.of(team).window_s)
+            for service in (False, True):
+                hit = Hit(team, JobId(""), MANY, float(MANY), service)
+                self._add(_Row(hit, until, None, False))
+
     def restored(self, task: TaskId) -> None:
         """It runs again, or is not wanted any more; its row goes once its window is over."""
         left = self._open.get(task.job)
--- a/dunehold/coordination/upkeep/care.py
+++ b/dunehold/coordination/upkeep/care.py
@@ -35,6 +35,7 @@
 from dunehold.protocol.users import JobSpec
 from dunehold.settings import Settings
 from dunehold.types import (
+    EPSILON,
     AttemptId,
     Condition,
     Duration,
@@ -199,11 +200,7 @@
         except (BadMessage, ValueError, TypeError) as error:
             # Unknown means spent: nothing by choice until the longest window is over.
             log.error("disruptions are not readable: %s", error)
-            for team in self.settings.teams:
-                budget = self.settings.operator.disruption.of(team)
-                hit = Hit(team, JobId(""), 1_000_000, 1e12)
-                self.disruptions.note(hit, TaskId(JobId(""), 0), now, choice=False)
-                log.info("team %s: nothing by choice for %g s", team, budget.window_s)
+            self.disruptions.block(self.settings.teams, now)
         self.mark()
 
     def orders_changed(self) -> None:
@@ -299,7 +296,7 @@
             self._decide(order, replace(progress, stage=Stage.DONE, since=wall, why=""))
             return
         if busy:
-            self._held_up.setdefault(order.id, [f"{busy} machines are not empty yet"])
+            self._held_up[order.id] = [f"{busy} machines are not empty yet"]
         else:
             self._held_up[order.id] = ["empty; out of service until it is undrained"]
 
@@ -341,7 +338,10 @@
             if scope.means(order, progress, host):
                 old.append(steps.Old(host.id, kind, host.used.cpus))
             elif progress.mark is not None and host.id > progress.mark:
-                of = replaced.get(Offer(*kind))
+                # Those of this wave first: several kinds may be replaced by one type.
+                of = progress.of
+                if of is None or self._target(order, of) != Offer(*kind):
+                    of = replaced.get(Offer(*kind))
                 if of is None:
                     continue
                 if self._bad(host, now):
@@ -602,14 +602,21 @@
         if alone and (host is None or host.order is None):
             self.disruptions.restored(run.id.task)
             return  # undrained meanwhile
+        spec = self._spec(run)
+        if run.service and spec is not None and not self._spare(run, spec):
+            self.disruptions.restored(run.id.task)
+            return  # others of it went away while this was written down
         grace = cut.grace
         if grace is None:
-            spec = self._spec(run)
             saves = spec is not None and spec.checkpoint_s > 0
             grace = spec.save_s if spec is not None and saves else Duration(0.0)
         log.info("stop %s on %s: %s", run.id, run.host, cut.reason)
         self.stop(run, grace)
 
+    def _spare(self, run: Run, spec: JobSpec) -> bool:
+        least = self.settings.operator.disruption.of(run.team).least_up.of(spec.tasks)
+        return self._up(spec.id) - 1 >= least - EPSILON
+
     # -- what happens ------------------------------------------------------------------------
 
     def lost(self, runs: Iterable[Run], now: MonotonicTime) -> None:
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -144,6 +144,14 @@
     assert heir.refusal(one, Whole(8, 100.0)) is None
     with pytest.raises(BadMessage):
         heir.restore({"f": 2, "rows": []}, later, wall)
+    # What can't be read is taken for spent, of every team, for a window.
+    heir.block([BLUE, RED], later)
+    for team in (BLUE, RED):
+        for service in (False, True):
+            hit = Hit(team, JobId("job-000003"), 1, 1.0, service)
+            assert heir.refusal(hit, Whole(8, 100.0), replicas=4, up=4) is not None
+    heir.step(MonotonicTime(later + 20.5))
+    assert heir.refusal(one, Whole(8, 100.0)) is None
 
 
 # -- what is stopped ---------------------------------------------------------------------------
