--- a/tests/test_packs.py
+++ b/tests/test_packs.py
@@ -523,7 +523,7 @@
 @pytest.mark.parametrize(
     ("seed", "faults"),
     [(1, quiet), (2, crashes), (3, cuts), (4, outages), (5, bad_nights), (6, crashes)],
-    ids=str,
+    ids=lambda value: getattr(value, "__name__", str(value)),
 )
 def test_swarms_keep_the_rules(seed: int, faults: Any, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("tests.test_rules.World", Swarms)
