Read again: one piece for what stood twice, and nothing that nobody reads

Refusals that users and operators get alike are one set; the recorder's three waits for a flush are one loop, an attempt's running time one method, HOST:PORT on the command line one reader, the way to the leader's peer one look-up, stopping and placing anew one step for spot notices and plans. The search for a place to move to is out of a loop five deep. Gone: reasons and a clock that the decision on stops never used, a check that another implied, a sentinel, a wrapper of max.

--- a/dunehold/bookkeeping/disruptions.py
+++ b/dunehold/bookkeeping/disruptions.py
@@ -65,7 +65,7 @@
         stopped included.
         """
         budget = self.budgets.of(hit.team)
-        tasks, cpus = self._spent.get(hit.team, (0, 0.0))
+        tasks, cpus = self.spent(hit.team)
         if hit.service:
             least = budget.least_up.of(replicas)
             if up - hit.tasks < least - EPSILON:
@@ -145,7 +145,7 @@
     def _add(self, row: _Row) -> None:
         hit = row.hit
         self._rows.append(row)
-        tasks, cpus = self._spent.get(hit.team, (0, 0.0))
+        tasks, cpus = self.spent(hit.team)
         self._spent[hit.team] = (
             tasks + (0 if hit.service else hit.tasks),
             cpus + hit.cpus,
@@ -183,9 +183,6 @@
             left = max(until - wall, float(self.budgets.of(hit.team).window_s))
             self._add(_Row(hit, MonotonicTime(now + left), None, True))
 
-    def rows(self) -> int:
-        return len(self._rows)
-
 
 def read(value: Any) -> list[tuple[Hit, WallTime]]:
     """The durable record's rows; BadMessage for one of a format that is not known."""
--- a/dunehold/bookkeeping/hosts.py
+++ b/dunehold/bookkeeping/hosts.py
@@ -56,6 +56,10 @@
     def occupies(self) -> bool:
         return self.phase is not TaskPhase.EXITED
 
+    def ran_s(self, now: MonotonicTime) -> float:
+        """How long it has been seen to run; 0 before that."""
+        return 0.0 if self.running_at is None else now - self.running_at
+
     @property
     def unsent(self) -> bool:
         """Nobody can have carried out its start: it can still be taken back."""
--- a/dunehold/cli.py
+++ b/dunehold/cli.py
@@ -153,10 +153,10 @@
 
 def _client(options: argparse.Namespace) -> int:
     from dunehold.protocol import codec, peers, users
-    from dunehold.transport.http import HttpClient, NoResponse
+    from dunehold.transport.http import HttpClient, NoResponse, split_address
 
-    host, colon, port = options.server.rpartition(":")
-    if not colon or not port.isdigit():
+    address = split_address(options.server)
+    if address is None:
         print("dunehold: --server: must be HOST:PORT", file=sys.stderr)
         return EXIT_USAGE
     if options.command == "submit":
@@ -192,7 +192,7 @@
         if options.command == "cancel":
             method, target, sent = "POST", f"{target}/{users.CANCEL_SUFFIX}", b"{}"
     try:
-        client = HttpClient(host, int(port))
+        client = HttpClient(*address)
         code, data = asyncio.run(client.request(method, target, sent, options.timeout))
     except NoResponse as error:
         print(f"dunehold: {options.server}: no answer ({error}); try again", file=sys.stderr)
--- a/dunehold/coordination/durable/recorder.py
+++ b/dunehold/coordination/durable/recorder.py
@@ -40,7 +40,6 @@
 # and reports must stay short. One write holds thousands of marks.
 MANY_MARKS, SOON_MARKS_S = 200, 3.0
 MAX_PAGE_HOSTS = 500
-_MISSING: Any = object()
 
 
 class Deposed(Exception):
@@ -161,19 +160,13 @@
         self._disruptions = value
         self._disruptions_asked += 1
         mine = self._disruptions_asked
-        self._wake.set()
-        while self._disruptions_written < mine:
-            self._written.clear()
-            await self._written.wait()
+        await self._until(lambda: self._disruptions_written >= mine)
 
     async def name_successor(self, zone: Zone) -> None:
         """Return once it is durable which zone should lead after this token. A hint: who leads
         is decided as ever, and others stand if nobody there does."""
         self.new_successor = zone
-        self._wake.set()
-        while self.new_successor is not None:
-            self._written.clear()
-            await self._written.wait()
+        await self._until(lambda: self.new_successor is None)
 
     def end_rental(self, rental: RentalId) -> None:
         self.ended_rentals[rental] = None
@@ -184,8 +177,12 @@
         neither lose the machines nor reuse the name."""
         for rental in rentals:
             self.new_rentals[rental.id] = rental
+        await self._until(lambda: not any(rental.id in self.new_rentals for rental in rentals))
+
+    async def _until(self, done: Callable[[], bool]) -> None:
+        """Return once a flush has made it so."""
         self._wake.set()
-        while any(rental.id in self.new_rentals for rental in rentals):
+        while not done():
             self._written.clear()
             await self._written.wait()
 
@@ -296,7 +293,7 @@
         if records.SUCCESSOR in txn.puts:
             self.new_successor = None
         for order, progress in upkeep.items():
-            if self.upkeep.get(order, _MISSING) is progress:
+            if self.upkeep[order] is progress:
                 del self.upkeep[order]
         for host_id in hosts:
             # What changed while this was under way is still to be written.
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -31,6 +31,7 @@
 from dunehold.transport.admission import Purpose
 from dunehold.transport.budget import Budget
 from dunehold.transport.http import (
+    Client,
     Connect,
     HttpClient,
     HttpServer,
@@ -301,12 +302,15 @@
     async def handle_operator(self, request: Request) -> Response:
         return await self.desk.handle(request)
 
+    def _leaders_client(self) -> Client | None:
+        known = self.view.leader
+        return None if known is None else self.sight.client(known.node)
+
     async def _upkeep(self) -> Live | None:
         """The leader's word on the orders, or None where it can't be had now."""
         if self.leader is not None:
             return self.view.applied, self.leader.care.status()
-        known = self.view.leader
-        client = None if known is None else self.sight.client(known.node)
+        client = self._leaders_client()
         if client is None:
             return None
         try:
@@ -325,8 +329,7 @@
             return len(self.leader.ledger.by_job.get(job, ()))
         if self.now() - self._running_at > RUNNING_AGE_S:
             self._running_at = self.now()
-            known = self.view.leader
-            client = None if known is None else self.sight.client(known.node)
+            client = self._leaders_client()
             try:
                 self._running_counts = (
                     await peers.get_running(client, PEER_TIMEOUT_S)
--- a/dunehold/coordination/picture/picture.py
+++ b/dunehold/coordination/picture/picture.py
@@ -412,7 +412,7 @@
     def _run_state(self, run: Run, now: MonotonicTime) -> RunState:
         record = self.ledger.view.jobs.get(run.id.task.job)
         spec = record.spec if record is not None else None
-        ran = 0.0 if run.running_at is None else now - run.running_at
+        ran = run.ran_s(now)
         ends = self.estimates.left_s(spec, ran) if spec is not None else 1.0
         if spec is not None and spec.kind is Kind.SERVICE:
             ends = math.inf
--- a/dunehold/coordination/scheduler/floor.py
+++ b/dunehold/coordination/scheduler/floor.py
@@ -144,9 +144,8 @@
         if known is not None:
             return known
         types: dict[Like, list[Group]] = {}
-        for group in self._groups_for(entry):
-            if self._suits(entry, group.sample):
-                types.setdefault((group.key[0], group.scarcity), []).append(group)
+        for group in self._suiting(entry):
+            types.setdefault((group.key[0], group.scarcity), []).append(group)
         found = sorted(types.items(), key=lambda kind: kind[0][1])
         if not bound:
             self._types[entry.job] = found
--- a/dunehold/coordination/scheduler/measy.py
+++ b/dunehold/coordination/scheduler/measy.py
@@ -220,8 +220,7 @@
             places = [self._host(host) for host in self.reserved]
             hosts = [h for h in places if self._suits(entry, h) and h.ready_at <= self.now]
         else:
-            suiting = [group for group in groups if self._suits(entry, group.sample)]
-            hosts = [h for group in suiting for h in group.open.values()]
+            hosts = [h for group in self._suiting(entry) for h in group.open.values()]
         found = []
         free_of_holds = False
         # Whether a need finds no room is told to others only if nothing else decided it.
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -345,15 +345,13 @@
             spec = record.spec
             if spec is None:
                 continue
-            ran = 0.0 if run.running_at is None else now - run.running_at
+            ran = run.ran_s(now)
             if now + self.estimates.left_s(spec, ran) <= taken_at and not run.service:
                 continue
             saves = spec.checkpoint_s > 0 and now + spec.save_s < taken_at
             log.info("stop %s on %s: the machine is taken back", run.id, host.id)
             self.care.lost([run], now)
-            self.ledger.stop(run, spec.save_s if saves else Duration(0.0))
-            if run.id not in host.runs:
-                self._requeue(run.id.task)
+            self._stop(run, spec.save_s if saves else Duration(0.0))
 
     def _check_known(self) -> None:
         if not self._reported_known and self.ledger.all_known():
@@ -490,9 +488,9 @@
             if run is None:
                 continue
             record = self.view.jobs.get(run.id.task.job)
-            save = stop.save and record is not None and record.spec is not None
-            grace = record.spec.save_s if save and record and record.spec else 0.0
-            wanted.append((run, Duration(grace), stop.reason))
+            spec = record.spec if record is not None else None
+            grace = spec.save_s if stop.save and spec is not None else Duration(0.0)
+            wanted.append((run, grace, stop.reason))
         if self.care.binds:
             self.care.grant(wanted, now)
             return
@@ -501,11 +499,14 @@
             self._stop_by_choice(run, grace_s)
 
     def _stop_by_choice(self, run: Run, grace: Duration) -> None:
+        self._stop(run, grace)
+        self.delivery.talk(run.host)
+
+    def _stop(self, run: Run, grace: Duration) -> None:
         self.ledger.stop(run, grace)
         host = self.ledger.hosts.get(run.host)
         if host is None or run.id not in host.runs:
             self._requeue(run.id.task)  # it was never sent
-        self.delivery.talk(run.host)
 
     def starts_logged(self, hosts: Iterable[HostId]) -> None:
         for host_id in hosts:
--- a/dunehold/coordination/upkeep/care.py
+++ b/dunehold/coordination/upkeep/care.py
@@ -25,6 +25,7 @@
 from dunehold.coordination.picture.estimates import Estimates
 from dunehold.coordination.picture.offers import Offer
 from dunehold.coordination.picture.picture import Picture
+from dunehold.coordination.scheduler.model import HostState
 from dunehold.coordination.upkeep import draining, scope, steps
 from dunehold.coordination.upkeep.draining import Aboard
 from dunehold.coordination.zones.watch import ZoneWatch
@@ -44,11 +45,13 @@
     Kind,
     MonotonicTime,
     OrderId,
+    Room,
     TaskId,
     TaskPhase,
     Team,
     TypeName,
     WallTime,
+    Zone,
 )
 
 log = logging.getLogger(__name__)
@@ -56,6 +59,7 @@
 KEPT_ORDERS = 30  # that have ended, for operators to look at
 SLOW = 1.3  # times what others take: a fresh machine that is slower is bad
 HELD_UP_SHOWN = 5
+NO_NAME = HostId("-")  # before that of any machine
 DRAINED = "its machine is to run empty"
 
 
@@ -262,14 +266,13 @@
 
     def _take_up(self, order: Order, now: MonotonicTime) -> HostId | None:
         """The last machine that is meant. Ages are by the cloud's list."""
-        names = set(self.ledger.hosts)
         older = order.selection.older_s
         if older is None:
-            return scope.newest(names) or HostId("-")  # before any name of a machine
+            return max(self.ledger.hosts, default=NO_NAME)
         if not self.fleet.listed:
             return None
         old = [item.host for item in self.fleet.listed.values() if item.age_s > older]
-        return scope.newest(old) or HostId("-")
+        return max(old, default=NO_NAME)
 
     def _decide(self, order: Order, progress: Progress) -> None:
         if progress != self.progress(order.id):
@@ -421,7 +424,7 @@
         if not any(host.busy for host in hosts):
             return
         decision = draining.decide(
-            self._aboard(hosts, now, wall), self.disruptions, self._wholes(), now
+            self._aboard(hosts, now, wall), self.disruptions, self._wholes()
         )
         for order in {host.order for host in hosts if host.order is not None}:
             if decision.held_up:
@@ -450,33 +453,14 @@
                 spec = record.spec if record is not None else None
                 if not run.occupies or spec is None:
                     continue
-                ran = 0.0 if run.running_at is None else now - run.running_at
+                ran = run.ran_s(now)
                 service = spec.kind is Kind.SERVICE
                 members = len(self.ledger.by_job.get(spec.id, ()))
                 gang = members if spec.kind is Kind.GANG else 0
-                place = None
-                if service or spec.checkpoint_s > 0:
-                    zones = self.ledger.job_zones(spec.id)
-                    for name, (state, room) in free.items():
-                        bound = spec.one_zone and members > 1 and state.zone != host.zone
-                        full = (
-                            spec.spread
-                            and state.zone != host.zone
-                            and zones.get(state.zone, 0) + 1 > (spec.tasks + 1) // 2
-                        )
-                        if (
-                            room.holds(spec.need)
-                            and not bound
-                            and not full
-                            and host_allowed(spec, state.type, state.zone, state.spot)
-                        ):
-                            place = name
-                            free[name] = state, room.minus(spec.need)
-                            break
+                moves = service or spec.checkpoint_s > 0
                 found.append(
                     Aboard(
                         run.id,
-                        host.id,
                         spec.team,
                         spec.rank,
                         run.need.cpus,
@@ -489,12 +473,31 @@
                         self._up(spec.id) if service else 0,
                         gang,
                         gang * spec.need.cpus,
-                        place is not None,
+                        moves and self._takes_place(spec, host.zone, free),
                         run.stop_grace is not None,
                     )
                 )
         return found
 
+    def _takes_place(
+        self, spec: JobSpec, zone: Zone, free: dict[HostId, tuple[HostState, Room]]
+    ) -> bool:
+        """Does a machine stand ready for one of its tasks from that zone? Its room is taken."""
+        zones = self.ledger.job_zones(spec.id)
+        for name, (state, room) in free.items():
+            if not room.holds(spec.need):
+                continue
+            if not host_allowed(spec, state.type, state.zone, state.spot):
+                continue
+            if state.zone != zone:
+                if spec.one_zone and sum(zones.values()) > 1:
+                    continue
+                if spec.spread and zones.get(state.zone, 0) + 1 > (spec.tasks + 1) // 2:
+                    continue
+            free[name] = state, room.minus(spec.need)
+            return True
+        return False
+
     def _limit_s(self, order: Order, wall: WallTime) -> float:
         """From now until its machines are to be empty."""
         ends = math.inf if order.ends_at is None else order.ends_at
@@ -668,6 +671,6 @@
                     continue
                 if spec.kind is Kind.SERVICE:
                     continue
-                ran = 0.0 if run.running_at is None else now - run.running_at
+                ran = run.ran_s(now)
                 longest = max(longest, self.estimates.left_s(spec, ran))
         return round(min(longest, max(0.0, self._limit_s(order, wall))), 0)
--- a/dunehold/coordination/upkeep/desk.py
+++ b/dunehold/coordination/upkeep/desk.py
@@ -20,6 +20,7 @@
 from dunehold.coordination.durable.sync import TROUBLE, Sync
 from dunehold.coordination.upkeep import scope
 from dunehold.protocol import codec, operators, users
+from dunehold.protocol.answers import BAD_METHOD, BUSY, OUTAGE
 from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.operators import Order, Wish
@@ -34,8 +35,6 @@
 IN_FORCE_S, ASK_GAP_S = 1.0, 0.1  # how long the answer waits for the leader to have the order
 MOST_QUEUED_S = 0.5
 MOST_OPEN = 20  # orders under way
-BUSY = Response(503, users.encode_error("try again later"), retry_after=1)
-OUTAGE = Response(503, users.encode_error("the state service does not answer"), retry_after=2)
 NOT_FOUND = Response(404, users.encode_error("no such order"))
 
 
@@ -77,16 +76,16 @@
         if not rest:
             if request.method == "GET":
                 return await self._list()
-            return await self._place(request.body) if request.method == "POST" else _method()
+            return await self._place(request.body) if request.method == "POST" else BAD_METHOD
         name, _, action = rest.partition("/")
         order = OrderId(name)
         if not action:
-            return await self._show(order) if request.method == "GET" else _method()
+            return await self._show(order) if request.method == "GET" else BAD_METHOD
         wish = operators.ACTIONS.get(action)
         if wish is None or not operators.valid_order_id(name):
             return NOT_FOUND
         if request.method != "POST":
-            return _method()
+            return BAD_METHOD
         row = codec.load_object(request.body or b"{}")
         return await self._change(order, wish, operators.read_seen(row))
 
@@ -151,10 +150,7 @@
                 raise Refused(
                     f"order {rival} is to replace some of these machines, or takes them"
                 )
-            under_way = sum(
-                not self.view.upkeep.get(name, scope.NOT_BEGUN).stage.final
-                for name in self.view.orders
-            )
+            under_way = sum(not scope.over(name, self.view.upkeep) for name in self.view.orders)
             if under_way >= MOST_OPEN:
                 raise Refused(f"{MOST_OPEN} orders are under way: end some first")
             if not self._affordable():
@@ -170,7 +166,7 @@
             order = self.view.orders.get(name)
             if order is None:
                 return NOT_FOUND
-            over = self.view.upkeep.get(name, scope.NOT_BEGUN).stage.final
+            over = scope.over(name, self.view.upkeep)
             if order.wish is wish or (over and not (order.keep and wish is Wish.ABORT)):
                 return await self._placed(order, 200)
             if order.wish is Wish.ABORT:
@@ -234,7 +230,3 @@
         row = self._row(order, live)
         body = operators.encode_placed(row, self.view.orders_serial, live is not None)
         return Response(status, body)
-
-
-def _method() -> Response:
-    return Response(405, users.encode_error("method not allowed"))
--- a/dunehold/coordination/upkeep/draining.py
+++ b/dunehold/coordination/upkeep/draining.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping.disruptions import Disruptions, Hit, Whole
-from dunehold.types import AttemptId, HostId, JobId, MonotonicTime, Rank, Team
+from dunehold.types import AttemptId, JobId, Rank, Team
 
 STOP_S = 1.0  # from the decision to the worker
 MOVE_WORTH_S = 30.0  # a task that saves is moved, not waited for, if it has longer to go
@@ -26,7 +26,6 @@
     """An attempt on a machine that is to run empty. Times in seconds from now."""
 
     attempt: AttemptId
-    host: HostId
     team: Team
     rank: Rank
     cpus: float
@@ -70,7 +69,6 @@
     aboard: Iterable[Aboard],
     disruptions: Disruptions,
     wholes: Mapping[Team, Whole],
-    now: MonotonicTime,
 ) -> Decision:
     """What is to be stopped now. What it grants itself counts in the same decision: the
     caller notes it, or drops the decision."""
@@ -82,8 +80,7 @@
         job = run.attempt.task.job
         if run.stopping or job in gangs:
             continue
-        wanted = _wanted(run)
-        if wanted is None:
+        if not _wanted(run):
             continue
         if run.service and not run.room_elsewhere:
             reasons[f"{job}: no machine stands ready for its replica"] = None
@@ -105,18 +102,18 @@
     return found
 
 
-def _wanted(run: Aboard) -> str | None:
-    """Why it should be stopped now, or None: it is let end."""
+def _wanted(run: Aboard) -> bool:
+    """Should it be stopped now, or is it let end?"""
     if run.service:
-        return "a replica moves"
+        return True
     left_s = run.limit_s - STOP_S
     if not run.saves:
-        return "it can't end in time" if run.left_s > left_s else None
+        return run.left_s > left_s  # it can't end in time
     if left_s <= run.save_s:
-        return "its time is over"
+        return True  # its time is over
     # Saved, it loses nothing, now or later: it moves once a machine stands ready for it.
     worth_s = min(left_s, MOVE_WORTH_S + run.save_s)
-    return "it goes on elsewhere" if run.room_elsewhere and run.left_s > worth_s else None
+    return run.room_elsewhere and run.left_s > worth_s
 
 
 def _refusal(
--- a/dunehold/coordination/upkeep/scope.py
+++ b/dunehold/coordination/upkeep/scope.py
@@ -8,7 +8,7 @@
 from dunehold.bookkeeping.orders import Progress, Stage
 from dunehold.bookkeeping.records import HostRecord
 from dunehold.protocol.operators import Order, OrderKind, Wish
-from dunehold.types import HostId, OrderId, WallTime
+from dunehold.types import OrderId, WallTime
 
 NOT_BEGUN = Progress()
 
@@ -52,8 +52,9 @@
     return means(order, progress, host)
 
 
-def newest(hosts: Iterable[HostId]) -> HostId | None:
-    return max(hosts, default=None)
+def over(order: OrderId, upkeep: Mapping[OrderId, Progress]) -> bool:
+    """Has it ended, by what is durable?"""
+    return upkeep.get(order, NOT_BEGUN).stage.final
 
 
 def overlap(
@@ -69,17 +70,16 @@
         for other in others.values()
         if other.id != order.id
         and other.wish is not Wish.ABORT
-        and not upkeep.get(other.id, NOT_BEGUN).stage.final
+        and not over(other.id, upkeep)
         and OrderKind.REPLACE in (other.kind, order.kind)
     ]
     if not rivals:
         return None
     for host in hosts:
-        if not order.selection.means(host.id, host.type, host.zone, host.spot):
+        kind = host.id, host.type, host.zone, host.spot
+        if not order.selection.means(*kind):
             continue
         for other in rivals:
-            if means(other, upkeep.get(other.id, NOT_BEGUN), host):
-                return other.id
-            if other.selection.means(host.id, host.type, host.zone, host.spot):
+            if other.selection.means(*kind):
                 return other.id
     return None
--- a/dunehold/coordination/users/intake.py
+++ b/dunehold/coordination/users/intake.py
@@ -15,6 +15,7 @@
 from dunehold.coordination.durable.sync import TROUBLE, Sync
 from dunehold.coordination.users.submissions import Submissions
 from dunehold.protocol import users
+from dunehold.protocol.answers import BAD_METHOD, BUSY, OUTAGE
 from dunehold.protocol.cloud import MachineType
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.state import Priority, StateClient, Txn
@@ -25,8 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-BUSY = Response(503, users.encode_error("try again later"), retry_after=1)
-OUTAGE = Response(503, users.encode_error("the state service does not answer"), retry_after=2)
 LATEST_S = 2.0  # after the question: nobody waits any longer, and proofs have aged
 LONGEST_QUEUE_S = 0.5  # for the write budget; who would wait longer is told at once
 NOT_FOUND = Response(404, users.encode_error("no such job"))
@@ -81,7 +80,7 @@
         """The answer to a user's request, or None when it is not a user's."""
         path = request.path
         if path == users.JOBS_PATH:
-            return await self._submit(request.body) if request.method == "POST" else _method()
+            return await self._submit(request.body) if request.method == "POST" else BAD_METHOD
         if not path.startswith(users.JOBS_PATH + "/"):
             return None
         name, _, action = path[len(users.JOBS_PATH) + 1 :].partition("/")
@@ -89,9 +88,9 @@
             return NOT_FOUND  # nobody can have submitted it
         job = JobId(name)
         if action == "":
-            return await self._get(job) if request.method == "GET" else _method()
+            return await self._get(job) if request.method == "GET" else BAD_METHOD
         if action == users.CANCEL_SUFFIX:
-            return await self._cancel(job) if request.method == "POST" else _method()
+            return await self._cancel(job) if request.method == "POST" else BAD_METHOD
         return NOT_FOUND
 
     # -- queries -------------------------------------------------------------------
@@ -206,7 +205,3 @@
             except TROUBLE:
                 return BUSY
         return BUSY
-
-
-def _method() -> Response:
-    return Response(405, users.encode_error("method not allowed"))
--- a/dunehold/emulator/commands.py
+++ b/dunehold/emulator/commands.py
@@ -20,9 +20,9 @@
 from dunehold.emulator.serve.acts import Acts, read_log
 from dunehold.emulator.serve.cluster import Cluster, ClusterError
 from dunehold.emulator.serve.control import FAULTS, JOBS, Control
-from dunehold.emulator.serve.places import Place, Places
+from dunehold.emulator.serve.places import Places
 from dunehold.emulator.serve.play import Player, text
-from dunehold.transport.http import HttpClient, NoResponse
+from dunehold.transport.http import HttpClient, NoResponse, split_address
 
 EXIT_FAILED, EXIT_USAGE = 1, 2
 FIRST_JOB = {
@@ -246,13 +246,12 @@
 
 
 def _post(place: str, path: str, body: bytes) -> int:
-    host, colon, port = place.rpartition(":")
-    if not colon or not port.isdigit():
+    address = split_address(place)
+    if address is None:
         print(f"dunehold: {place}: must be HOST:PORT", file=sys.stderr)
         return EXIT_USAGE
-    target = Place(host, int(port))
     try:
-        client = HttpClient(target.host, target.port)
+        client = HttpClient(*address)
         status, data = asyncio.run(client.request("POST", path, body, 30.0))
     except NoResponse as error:
         print(f"dunehold: {place}: no answer ({error})", file=sys.stderr)
--- a/dunehold/operating.py
+++ b/dunehold/operating.py
@@ -14,7 +14,7 @@
 from dunehold.protocol import codec, operators
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.operators import Order
-from dunehold.transport.http import HttpClient, NoResponse
+from dunehold.transport.http import HttpClient, NoResponse, split_address
 from dunehold.types import OrderId
 
 CHANGES = {"undrain": "abort", "abort": "abort", "pause": "pause", "resume": "resume"}
@@ -126,8 +126,8 @@
 
 
 def run(options: argparse.Namespace) -> int:
-    host, colon, port = options.server.rpartition(":")
-    if not colon or not port.isdigit():
+    address = split_address(options.server)
+    if address is None:
         return _usage("--server: must be HOST:PORT")
     body: bytes | None = None
     method, target = "GET", operators.ORDERS_PATH
@@ -144,7 +144,7 @@
         if options.command in CHANGES:
             method, target = "POST", f"{target}/{CHANGES[options.command]}"
             body = codec.dump({} if options.seen is None else {"seen": options.seen})
-    client = HttpClient(host, int(port))
+    client = HttpClient(*address)
     try:
         status, data = asyncio.run(client.request(method, target, body, options.timeout))
         row = codec.load_object(data)
@@ -162,7 +162,7 @@
     if options.json:
         print(data.decode("utf-8", "replace"))
     elif options.command == "orders":
-        print(report.orders(row, time.time()))
+        print(report.orders(row))
     else:
         print(report.order(row, time.time()))
     return 0
--- a/dunehold/protocol/operators.py
+++ b/dunehold/protocol/operators.py
@@ -75,7 +75,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Order:
-    """``from_s``, ``by_s`` and ``made_at`` are times of day.
+    """``begins_at``, ``ends_at`` and ``made_at`` are times of day.
 
     ``within_s``: how long a machine that is taken in a step may take to run empty.
     """
--- a/dunehold/report.py
+++ b/dunehold/report.py
@@ -21,7 +21,7 @@
 ORDERS = ("", "what", "stage", "done", "left", "in hand", "wave", "over in")
 
 
-def orders(row: dict[str, Any], now: float) -> str:
+def orders(row: dict[str, Any]) -> str:
     """The answer to ``dunehold orders``, the oldest order first."""
     lines = [f"serial {row['serial']}, leader {row['leader'] or 'none'}"]
     rows = [ORDERS, *(_order_cells(one) for one in row["orders"])]
--- a/dunehold/transport/http.py
+++ b/dunehold/transport/http.py
@@ -27,6 +27,12 @@
 REASONS = {200: b"OK", 201: b"Created", 421: b"Misdirected Request", 422: b"Unprocessable"}
 
 
+def split_address(text: str) -> tuple[str, int] | None:
+    """``HOST:PORT`` as people type it; None for anything else."""
+    host, colon, port = text.rpartition(":")
+    return (host, int(port)) if colon and port.isdigit() else None
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -163,7 +163,6 @@
     job = JobId(f"job-{rng.randrange(6) + (10 if service else 20 if gang else 0):06d}")
     return Aboard(
         AttemptId(TaskId(job, number), Attempt(number + 1)),
-        HostId(f"m-{rng.randrange(5)}"),
         rng.choice([BLUE, RED]),
         Rank(rng.randrange(4)),
         cpus=rng.choice([1.0, 2.0, 4.0]),
@@ -188,7 +187,7 @@
     runs = [aboard(rng, number) for number in range(rng.randrange(1, 30))]
     books = Disruptions(BUDGETS)
     wholes = {BLUE: Whole(20, 60.0), RED: Whole(20, 60.0)}
-    found = draining.decide(runs, books, wholes, MonotonicTime(0.0))
+    found = draining.decide(runs, books, wholes)
     chosen = {run.attempt for run in found.stops}
     for team, most in ((BLUE, 3), (RED, 10)):
         ours = [run.hit for run in found.stops if run.team == team]
@@ -210,7 +209,7 @@
     """And one whose budget is zero: nothing moves."""
     one = Aboard(
         AttemptId(TaskId(JobId("job-000001"), 0), Attempt(1)),
-        HostId("m-1"), BLUE, Rank.HIGH, 4.0, 10.0, math.inf, 0.0, -1.0, True, 1, 1, 0, 0.0,
+        BLUE, Rank.HIGH, 4.0, 10.0, math.inf, 0.0, -1.0, True, 1, 1, 0, 0.0,
         True,
     )  # fmt: skip
     for budgets, reason in (
@@ -220,11 +219,11 @@
             "0 of its replicas at once",
         ),
     ):
-        found = draining.decide([one], Disruptions(budgets), {}, MonotonicTime(0.0))
+        found = draining.decide([one], Disruptions(budgets), {})
         assert not found.stops and found.late == 1
         assert reason in found.held_up[0]
     free = Budgets(Budget(least_up=Amount(0.0), cpus=Amount(100.0)))
-    assert draining.decide([one], Disruptions(free), {}, MonotonicTime(0.0)).stops == [one]
+    assert draining.decide([one], Disruptions(free), {}).stops == [one]
 
 
 # -- steps -------------------------------------------------------------------------------------
