--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -316,6 +316,8 @@
         spec = record.spec
         if spec is None or record.phase is not JobPhase.ACTIVE:
             return "job is over"
+        if self.view.waits(record.id):
+            return "job waits for others"
         if not 0 <= task.number < spec.tasks or self.is_done(record, task.number):
             return "task is done"
         if task in self.present:
--- a/dunehold/bookkeeping/packs/rows.py
+++ b/dunehold/bookkeeping/packs/rows.py
@@ -14,7 +14,7 @@
 from dunehold.protocol.users import JobSpec, decode_job_object, encode_job
 from dunehold.types import JobId, WallTime
 
-FRAME_BYTES = 16  # what is around the rows
+FRAME_BYTES, END_FRAME_BYTES = 16, 40  # what is around the rows
 ROW_BYTES = 2  # a comma, and the rounding of a time
 
 
@@ -29,6 +29,7 @@
     id: JobId
     tasks: int
     accepted_at: WallTime
+    ended_at: WallTime | None = None  # None: an earlier version wrote it
 
 
 @dataclass(slots=True)
@@ -53,6 +54,8 @@
             for name, value in full.items()
             if name not in self._last or self._last[name] != value
         }
+        # What only the row before had must not be read into this one.
+        changed.update(dict.fromkeys(self._last.keys() - full.keys()))
         row = [accepted.at, changed]
         size = len(codec.dump(row)) + ROW_BYTES
         if self.size + size > self.room:
@@ -91,8 +94,9 @@
     """Fills a value of at most ``room`` bytes with ends."""
 
     room: int
+    at: WallTime | None = None  # when they ended, the same for all of a pack
     rows: list[list[Any]] = field(default_factory=list)
-    size: int = FRAME_BYTES
+    size: int = END_FRAME_BYTES
 
     def add(self, ended: Ended) -> bool:
         row = [ended.id, ended.tasks, ended.accepted_at]
@@ -104,17 +108,19 @@
         return True
 
     def value(self) -> dict[str, Any]:
-        return {"done": self.rows}
+        return {"done": self.rows, "end": self.at}
 
 
 def decode_ended(value: Any) -> list[Ended]:
     if not isinstance(value, dict):
         raise BadMessage("pack of ends")
     found = []
+    end = codec.opt_amount(value, "end")
+    ended_at = None if end is None else WallTime(end)
     for row in codec.lists(value, "done"):
         if len(row) != 3:
             raise BadMessage("pack of ends: row")
         named = dict(zip(("job", "tasks", "at"), row, strict=True))
         job, tasks = JobId(codec.text(named, "job")), codec.count(named, "tasks")
-        found.append(Ended(job, tasks, WallTime(codec.amount(named, "at"))))
+        found.append(Ended(job, tasks, WallTime(codec.amount(named, "at")), ended_at))
     return found
--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import base64
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from dunehold.protocol import codec
@@ -86,6 +86,13 @@
     marks: dict[int, int] = field(default_factory=dict)  # page -> bitmap of done tasks
     order: Revision = Revision(0)
     pack: str | None = None
+    ended_at: WallTime | None = None  # of a job that is done, where that is written
+    free_at: WallTime | None = None  # when the last job that it needs was done
+
+    @property
+    def wanted_at(self) -> WallTime:
+        """From when its waiting counts: for the jobs that it needs, it does not wait."""
+        return self.accepted_at if self.free_at is None else self.free_at
 
     def stands(self, other: JobRecord) -> bool:
         """Against another record of the same job: an end before no end, the first of two.
@@ -143,9 +150,28 @@
     return {"phase": phase.value, "at": accepted_at, "job": encode_job(spec)}
 
 
-def encode_done(record: JobRecord) -> dict[str, Any]:
+def encode_cancelled(record: JobRecord, most_bytes: int) -> dict[str, Any]:
+    """What its tasks take stays known, since some may still be on machines. What only says
+    where and when it may start goes, and more of it where a value has become smaller: a
+    job that was accepted must never be too large to be cancelled."""
+    spec = record.spec
+    assert spec is not None
+    spec = replace(spec, awaits=())
+    value = encode_job_record(spec, JobPhase.CANCELLED, record.accepted_at)
+    if len(codec.dump(value)) > most_bytes:
+        spec = replace(spec, types=None)
+        value = encode_job_record(spec, JobPhase.CANCELLED, record.accepted_at)
+    return value
+
+
+def encode_done(record: JobRecord, ended_at: WallTime | None = None) -> dict[str, Any]:
     """Nothing but the end is needed of a job that is done."""
-    return {"phase": JobPhase.DONE.value, "at": record.accepted_at, "tasks": record.tasks}
+    return {
+        "phase": JobPhase.DONE.value,
+        "at": record.accepted_at,
+        "tasks": record.tasks,
+        "end": ended_at,
+    }
 
 
 def decode_job_record(job: JobId, value: Any, version: Revision) -> JobRecord:
@@ -153,6 +179,7 @@
         raise BadMessage("job record")
     row = value.get("job")
     spec = decode_job_object(row) if isinstance(row, dict) else None
+    end = codec.opt_amount(value, "end")
     return JobRecord(
         job,
         JobPhase(str(value.get("phase"))),
@@ -161,6 +188,7 @@
         spec,
         spec.tasks if spec is not None else codec.count(value, "tasks"),
         order=version,
+        ended_at=None if end is None else WallTime(end),
     )
 
 
--- a/dunehold/bookkeeping/view.py
+++ b/dunehold/bookkeeping/view.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from dunehold.bookkeeping import records
+from dunehold.bookkeeping.needs import Needs
 from dunehold.bookkeeping.orders import Progress, decode_order, decode_progress
 from dunehold.bookkeeping.packs.rows import decode_accepted, decode_ended
 from dunehold.bookkeeping.packs.shelf import Shelf
@@ -73,6 +74,9 @@
     spent_marks: dict[JobId, None] = field(default_factory=dict)  # done, with marks still kept
     shelf: Shelf = field(default_factory=Shelf)
     packing: bool = False  # packs may be written, by whichever node
+    needs: Needs = field(default_factory=Needs)
+    linked: bool = True  # what follows from the ends of others is kept up to date
+    _also: list[JobId] = field(default_factory=list)  # changed along with others
 
     def load(self, entries: list[Entry], revision: Revision) -> None:
         """Start over from a full listing.
@@ -80,7 +84,7 @@
         Its pages may be of different moments: what changed since ``revision``, that of the
         first, must be applied before anything is told from the view.
         """
-        fresh = View()
+        fresh = View(linked=False)
         for entry in entries:
             fresh._apply_one(Change(entry.key, entry.value, entry.version, False))
         for name in self.__slots__:
@@ -88,6 +92,16 @@
         self.applied = revision
         self.loaded = True
 
+    def link(self) -> None:
+        """Draw what follows from the ends of others, once nothing of a listing is missing:
+        of two ends of one job, a page of another moment may show the later alone."""
+        if self.linked:
+            return
+        self.linked = True
+        for record in list(self.active.values()):
+            self._enter(record)
+        self._taken_along()  # all jobs are told of after a listing
+
     def apply(self, changes: list[Change], revision: Revision) -> list[JobId]:
         """Apply what is newer than what is here; the jobs that changed.
 
@@ -98,6 +112,7 @@
         for change in changes:
             if change.version > self.applied:
                 touched += self._apply_one(change)
+                touched += self._taken_along()
         self.applied = max(self.applied, revision)
         return touched
 
@@ -194,10 +209,67 @@
         self.jobs[record.id] = record
         if record.phase is JobPhase.ACTIVE:
             self.active[record.id] = record
+            if self.linked:
+                self._enter(record)
         else:
             self.active.pop(record.id, None)
+            if self.linked:
+                self._leave(record)
         self._note_marks(record)
 
+    def _taken_along(self) -> list[JobId]:
+        also = self._also + self.needs.loosened
+        self._also.clear()
+        self.needs.loosened.clear()
+        return also
+
+    # -- jobs that wait for others ---------------------------------------------------------
+
+    def waits(self, job: JobId) -> bool:
+        """Not all that it needs is durably done: nothing of it may start."""
+        return job in self.needs.waits
+
+    def _enter(self, record: JobRecord) -> None:
+        if record.spec is None or not record.spec.awaits or record.phase.final:
+            return
+        left = []
+        for need in record.spec.awaits:
+            other = self.jobs.get(need)
+            if other is None or other.phase is JobPhase.ACTIVE:
+                left.append(need)
+            elif other.phase is JobPhase.CANCELLED:
+                self._cancel([record.id, *self.needs.cancelled(record.id)])
+                return
+        self.needs.add(record.id, left)
+        if not left:
+            self._free(record)
+
+    def _leave(self, record: JobRecord) -> None:
+        self.needs.forget(record.id)
+        if record.phase is JobPhase.CANCELLED:
+            self._cancel(self.needs.cancelled(record.id))
+            return
+        for job in self.needs.done(record.id):
+            self._free(self.jobs[job])
+            self._also.append(job)
+
+    def _free(self, record: JobRecord) -> None:
+        assert record.spec is not None
+        ends = [record.accepted_at]
+        for need in record.spec.awaits:
+            other = self.jobs[need]
+            ends.append(other.accepted_at if other.ended_at is None else other.ended_at)
+        record.free_at = max(ends)
+
+    def _cancel(self, jobs: list[JobId]) -> None:
+        """They follow from a cancellation that is durable, at every node alike, and none of
+        them has ever started: the job that was cancelled was not done."""
+        for job in jobs:
+            record = self.jobs[job]
+            record.phase = JobPhase.CANCELLED
+            self.active.pop(job, None)
+            self._also.append(job)
+
     def _note_marks(self, record: JobRecord) -> None:
         if record.phase is JobPhase.DONE and record.marks:
             self.spent_marks[record.id] = None
@@ -232,8 +304,10 @@
         if change.deleted:
             return []
         ended = decode_ended(change.value)
-        for job, tasks, at in ended:
-            done = JobRecord(job, JobPhase.DONE, ABSENT, at, None, tasks, order=change.version)
+        for job, tasks, at, end in ended:
+            done = JobRecord(
+                job, JobPhase.DONE, ABSENT, at, None, tasks, order=change.version, ended_at=end
+            )
             self._settle(done)
         return [end.id for end in ended]
 
@@ -264,9 +338,12 @@
             self.relay_changes[record.zone] = self.relay_changes.get(record.zone, 0) + 1
 
     def _apply_hosts(self, page: int, change: Change) -> None:
-        for host in self.host_pages.pop(page, {}):
-            self.hosts.pop(host, None)
-        if not change.deleted:
-            rows = records.decode_hosts(change.value)
+        rows = {} if change.deleted else records.decode_hosts(change.value)
+        before = self.host_pages.pop(page, {})
+        if rows:
             self.host_pages[page] = rows
             self.hosts.update(rows)
+        for host in before:
+            # It may have moved to another page in the same transaction, which came first.
+            if host not in rows and not any(host in p for p in self.host_pages.values()):
+                self.hosts.pop(host, None)
--- a/dunehold/cli.py
+++ b/dunehold/cli.py
@@ -43,6 +43,11 @@
         help="where workers get job descriptions from, such as an emulator's control interface",
     )
     status = commands.add_parser("status", help="show a job's state")
+    status.add_argument(
+        "--peer",
+        metavar="HOST:PORT",
+        help="any controller's peer_bind: also say what a waiting job waits for",
+    )
     cancel = commands.add_parser("cancel", help="cancel a job")
     served = commands.add_parser(
         "served", help="what is served of each class and team, and which zones are not well"
@@ -204,7 +209,32 @@
         return 0
     print(data.decode("utf-8", "replace"))
     if code in (200, 201):
-        return 0
+        return _waits(options) if getattr(options, "peer", None) else 0
     hint = "try again" if code in (429, 503, 504) else "not accepted"
     print(f"dunehold: status {code}: {hint}", file=sys.stderr)
     return EXIT_FAILED
+
+
+def _waits(options: argparse.Namespace) -> int:
+    """Which jobs this one waits for; the users' interface does not say so."""
+    from dunehold.protocol import codec, peers
+    from dunehold.transport.http import HttpClient, NoResponse, split_address
+
+    address = split_address(options.peer)
+    if address is None:
+        print("dunehold: --peer: must be HOST:PORT", file=sys.stderr)
+        return EXIT_USAGE
+    target = peers.WAITS_PATH + options.job
+    try:
+        client = HttpClient(*address)
+        code, data = asyncio.run(client.request("GET", target, None, options.timeout))
+        waits = codec.load_object(data).get("waits") if code == 200 else None
+    except (NoResponse, codec.BadMessage) as error:
+        print(f"dunehold: {options.peer}: no answer ({error}); try again", file=sys.stderr)
+        return EXIT_FAILED
+    if waits is None:
+        print(f"dunehold: {options.peer} does not know {options.job} yet", file=sys.stderr)
+        return EXIT_FAILED
+    if waits:
+        print("waits for " + ", ".join(map(str, waits)))
+    return 0
--- a/dunehold/coordination/durable/ends.py
+++ b/dunehold/coordination/durable/ends.py
@@ -12,7 +12,7 @@
 from dunehold.bookkeeping.view import View
 from dunehold.protocol.state import ABSENT, Priority, StateClient, Txn
 from dunehold.settings import Settings
-from dunehold.types import Revision, Token
+from dunehold.types import Revision, Token, WallTime
 
 CALM_S = 30.0  # without a new pack: submissions get keys of their own again
 
@@ -23,6 +23,7 @@
 
     settings: Settings
     token: Token
+    wall: Callable[[], float]
     _count: int = 0
     _txn: Txn | None = None
     _packer: EndPacker | None = None
@@ -40,7 +41,8 @@
         if self._packer is None or not self._packer.add(ended):
             if space < 1:
                 return False
-            self._packer = EndPacker(records.value_room(self.settings.value_bytes))
+            room = records.value_room(self.settings.value_bytes)
+            self._packer = EndPacker(room, WallTime(round(self.wall(), 3)))
             self._packer.add(ended)
             self._count += 1
             key = f"{records.ENDS}{self.token}.{self._count}"
--- a/dunehold/coordination/durable/recorder.py
+++ b/dunehold/coordination/durable/recorder.py
@@ -17,8 +17,16 @@
 from dunehold.bookkeeping.view import VERSIONED, View
 from dunehold.coordination.durable.ends import Ends, Sweeper
 from dunehold.coordination.durable.sync import TROUBLE, Sync
+from dunehold.protocol import codec
 from dunehold.protocol.cloud import Rental
-from dunehold.protocol.state import ABSENT, MAX_TXN_BYTES, Priority, StateClient, Txn
+from dunehold.protocol.state import (
+    ABSENT,
+    MAX_TXN_BYTES,
+    Malformed,
+    Priority,
+    StateClient,
+    Txn,
+)
 from dunehold.settings import Settings
 from dunehold.transport.http import NoResponse
 from dunehold.types import (
@@ -29,12 +37,14 @@
     RentalId,
     Revision,
     Token,
+    WallTime,
     Zone,
 )
 
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.3
+REFUSED_S = 1.0  # after a transaction that the state service finds malformed
 MARK_DELAY_S = 20.0
 # Sooner where many tasks end: until its mark is durable, the worker reports each of them,
 # and reports must stay short. One write holds thousands of marks.
@@ -72,6 +82,7 @@
     on_written: Callable[[], None]
     on_logged: Callable[[Iterable[HostId]], None]
     flush_gap_s: float
+    wall: Callable[[], float]
     dirty_jobs: dict[JobId, None] = field(default_factory=dict)
     unmarked: dict[JobId, _Unmarked] = field(default_factory=dict)
     dirty_hosts: dict[HostId, None] = field(default_factory=dict)
@@ -87,13 +98,15 @@
     _disruptions_written: int = 0
     ends: Ends = field(init=False)
     sweeper: Sweeper = field(init=False)
+    _most_ops: int = field(init=False)
     _in_doubt: set[str] = field(default_factory=set)  # keys with a write that may come late
     _slot: int = 0  # of the log of starts, written next
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _written: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
-        self.ends = Ends(self.settings, self.token)
+        self._most_ops = self.settings.txn_ops
+        self.ends = Ends(self.settings, self.token, self.wall)
         self.sweeper = Sweeper(
             self.settings,
             self.state,
@@ -196,7 +209,15 @@
             while self._pending():
                 try:
                     await self._flush()
+                    self._most_ops = min(self.settings.txn_ops, self._most_ops * 2)
                     await asyncio.sleep(self.flush_gap_s)
+                except Malformed as error:
+                    # The same transaction would be refused for ever: smaller ones come next,
+                    # and what is at fault goes behind everything else.
+                    log.error("records refused, smaller ones follow: %s", error)
+                    self._most_ops = max(1, self._most_ops // 2)
+                    self._put_back()
+                    await asyncio.sleep(REFUSED_S)
                 except TROUBLE as error:
                     log.debug("records not written yet: %s", error)
                     await asyncio.sleep(RETRY_S)
@@ -204,6 +225,14 @@
                 while not self._pending() and await self.sweeper.sweep():
                     await asyncio.sleep(self.flush_gap_s)
 
+    def _put_back(self) -> None:
+        """Turn each queue, so that another transaction is tried next."""
+        queues: list[dict[Any, Any]] = [self.dirty_jobs, self.dirty_hosts]
+        queues += [self.starts, self.upkeep]
+        for queue in queues:
+            for first in list(queue)[:1]:
+                queue[first] = queue.pop(first)
+
     def _pending(self) -> bool:
         return bool(
             self.starts
@@ -220,9 +249,11 @@
 
     async def _flush(self) -> None:
         txn = Txn(guards={records.LEADER_KEY: self.leader_version})
-        limit = self.settings.txn_ops
+        limit = self._most_ops
         logged = self._log(txn, max(1, limit // 2))
-        rentals = [r for r in self.new_rentals.values()][: max(1, (limit - txn.size) // 2)]
+        rentals = [r for r in self.new_rentals.values()][
+            : max(not txn.size, (limit - txn.size) // 2)
+        ]
         for rental in rentals:
             if rental.id not in self.view.rentals:  # else an answer was lost
                 txn.puts[records.RENTALS + rental.id] = records.encode_rental(rental)
@@ -251,7 +282,8 @@
             txn.puts[records.SUCCESSOR] = records.encode_successor(successor, self.token)
         upkeep = self._order_changes(txn, limit)
         jobs = []
-        for job in list(self.dirty_jobs):
+        # Who is waited for goes first: what comes after is held up by nothing else.
+        for job in sorted(self.dirty_jobs, key=lambda j: j not in self.view.needs.after):
             if txn.size >= limit:
                 break
             if self._job_change(txn, job, limit - txn.size):
@@ -343,16 +375,20 @@
             if not self._planned(run):
                 del self.starts[run.id]
         room = records.value_room(self.settings.value_bytes)
-        for number in range(slots):
-            if not waiting:
+        passed = 0
+        for number in range(records.START_SLOTS):
+            if not waiting or self._log_keys(txn) >= slots:
                 break
             slot = (self._slot + number) % records.START_SLOTS
+            passed = number + 1
             placed: records.Placed = {}
             for host, tasks in self.view.starts.get(slot, {}).items():
                 kept = {task for task in tasks if self.ledger.still_there(host, task)}
                 if kept:
                     placed[host] = kept
             size = sum(records.starts_bytes(tasks) for tasks in placed.values())
+            if size >= room:
+                continue  # full of what may still run; written under larger limits, perhaps
             while waiting and size < room:
                 run = waiting.pop()
                 tasks = placed.setdefault(run.host, set())
@@ -362,7 +398,7 @@
                 taken.append(run)
             txn.puts[f"{records.STARTS}{slot}"] = records.encode_starts(placed)
         # An unanswered write may still come: its slot is not used again before the next round.
-        self._slot = (self._slot + self._log_keys(txn)) % records.START_SLOTS
+        self._slot = (self._slot + passed) % records.START_SLOTS
         return taken
 
     def _planned(self, run: Run) -> bool:
@@ -424,7 +460,14 @@
                 included.add(host_id)
             touched[page] = None
             taken.append(host_id)
-        for page in touched:
+        for page in list(touched):
+            if not self._split(pages, page, capacity, touched, limit - txn.size):
+                del touched[page]  # too large for a value, no space to split it: next time
+                included.difference_update(pages[page])
+        # A page that was split goes first: who reads one after the other loses no machine.
+        for page in sorted(
+            touched, key=lambda p: len(self.view.host_pages.get(p, ())), reverse=True
+        ):
             key = f"{records.HOSTS}{page}"
             if pages[page]:
                 txn.puts[key] = records.encode_hosts(list(pages[page].values()))
@@ -432,6 +475,43 @@
                 txn.deletes.add(key)
         return taken
 
+    def _split(
+        self,
+        pages: dict[int, dict[HostId, HostRecord]],
+        page: int,
+        capacity: int,
+        touched: dict[int, None],
+        most: int,
+    ) -> bool:
+        """Move what is too much for the page to others, in the same transaction.
+
+        Guards against a page that was written under larger limits: refused for good, it would
+        hold up every other record. False if it can be written neither split nor whole.
+        """
+        rows = pages[page]
+        left = list(rows)[capacity:]
+        moves: list[tuple[int, list[HostId]]] = []
+        for number in range(len(pages) + len(left)):
+            if not left:
+                break
+            free = capacity - len(pages.get(number, ()))
+            if number == page or free <= 0:
+                continue
+            new = number not in touched
+            if new and len(touched) + sum(m not in touched for m, _ in moves) >= most:
+                continue
+            moves.append((number, left[:free]))
+            left = left[free:]
+        if left:
+            whole = codec.dump(records.encode_hosts(list(rows.values())))
+            return len(whole) <= self.settings.value_bytes
+        for number, hosts in moves:
+            touched[number] = None
+            target = pages.setdefault(number, {})
+            for host in hosts:
+                target[host] = rows.pop(host)
+        return True
+
     # -- jobs ------------------------------------------------------------------------
 
     def _finished(self, record: JobRecord) -> bool:
@@ -459,7 +539,7 @@
         if self._finished(record):
             if record.pack is None:
                 txn.guards[key] = record.version
-                txn.puts[key] = records.encode_done(record)
+                txn.puts[key] = records.encode_done(record, WallTime(round(self.wall(), 3)))
             elif not self.ends.add(txn, record, space):
                 return False
             for page in list(record.marks)[: max(0, space - 1)]:
--- a/dunehold/coordination/durable/sync.py
+++ b/dunehold/coordination/durable/sync.py
@@ -53,6 +53,7 @@
             )
             self.view.load(entries, revision)
             self.view.apply(changes, latest)
+            self.view.link()
             self.proved_at = MonotonicTime(sent)
             self.on_change(list(self.view.jobs))
             log.info("view loaded: %d jobs, revision %d", len(self.view.jobs), revision)
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -7,6 +7,7 @@
 import logging
 import secrets
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -56,6 +57,7 @@
 PEER_SOCKETS = 16
 OPERATOR_SOCKETS = 8
 RUNNING_AGE_S = 1.0
+LIMITED_TIMES, LIMITED_S = 3, 10.0  # refusals of a rate that show that it has fallen
 COMPLAIN_S = 10.0  # between lines of the log on reports that can't be read
 SERVED_S = 60.0  # between lines of the log on what is served, and what was late
 ABSTAIN_S = 6.0
@@ -107,6 +109,8 @@
     _abstain_until: MonotonicTime = MonotonicTime(-1e9)  # others should lead, if they can
     _vacant_since: MonotonicTime | None = None  # seen by a node that lets others go first
     _complained_at: MonotonicTime = MonotonicTime(-1e9)
+    _rates_fell: bool = False
+    _refusals: deque[float] = field(default_factory=lambda: deque(maxlen=LIMITED_TIMES))
     _deaf_terms: int = 0  # led in a row without hearing a worker
     _resigning: set[asyncio.Task[None]] = field(default_factory=set)
     _election: asyncio.Event = field(default_factory=asyncio.Event)
@@ -118,8 +122,9 @@
             self.connect(settings.state.host, settings.state.port, STATE_LINKS),
             self.connect(settings.state.host, settings.state.port, WATCH_LINKS),
             Budget(requests, max(2.0, requests)),
-            Budget(writes, float(settings.txn_ops)),
+            Budget(writes, self._least_burst),
         )
+        self.state.on_limited = self._limited
         cloud = self.connect(settings.cloud.host, settings.cloud.port, CLOUD_LINKS)
         self.cloud = CloudClient(
             cloud,
@@ -170,20 +175,42 @@
         """This node's part of the state service's requests and changes a second."""
         settings = self.settings
         requests, writes = LEADER_REQUESTS, LEADER_WRITES
+        rps, write_rps = settings.state_rps, settings.state_write_rps
+        if self._rates_fell:
+            rps = settings.later_rps or rps
+            write_rps = settings.later_write_rps or write_rps
         if settings.node_count == 1:
             requests = writes = 1.0
         elif not leading:
             others = settings.node_count - 1
             requests, writes = (1.0 - requests) / others, (1.0 - writes) / others
         return (
-            settings.state_rps * RESERVE_SHARE * requests,
-            settings.state_write_rps * RESERVE_SHARE * writes,
+            rps * RESERVE_SHARE * requests,
+            write_rps * RESERVE_SHARE * writes,
         )
 
+    @property
+    def _least_burst(self) -> float:
+        return max(float(self.settings.txn_ops), self.settings.write_burst)
+
+    def _limited(self) -> None:
+        """The state service refused a rate. Once may be bursts that met; several times within
+        seconds, its lower limits hold by now, and stay: they are never asked for again."""
+        now = self.now()
+        self._refusals.append(now)
+        if (
+            not self._rates_fell
+            and len(self._refusals) == LIMITED_TIMES
+            and now - self._refusals[0] < LIMITED_S
+        ):
+            self._rates_fell = True
+            log.info("the state service allows less: its later rates hold from now on")
+            self._take_share(self.leader is not None)
+
     def _take_share(self, leading: bool) -> None:
         requests, writes = self._shares(leading)
         self.state.requests.set_rate(requests, max(2.0, requests))
-        self.state.writes.set_rate(writes, max(float(self.settings.txn_ops), writes))
+        self.state.writes.set_rate(writes, max(self._least_burst, writes))
 
     @staticmethod
     def now() -> MonotonicTime:
@@ -297,6 +324,12 @@
         if request.path == peers.UPKEEP_PATH and self.leader is not None:
             status = self.leader.care.status()
             return Response(200, peers.encode_upkeep(self.view.applied, status))
+        if request.path.startswith(peers.WAITS_PATH):
+            job = JobId(request.path[len(peers.WAITS_PATH) :])
+            if job in self.view.jobs:
+                return Response(
+                    200, peers.encode_waits(job, self.view.needs.waits.get(job, ()))
+                )
         return Response(404)
 
     async def handle_operator(self, request: Request) -> Response:
@@ -473,6 +506,7 @@
             lambda: self.leader.make_dirty() if self.leader is not None else None,
             lambda hosts: self.leader.starts_logged(hosts) if self.leader is not None else None,
             max(LEAST_FLUSH_GAP_S, FLUSH_COST / self._shares(leading=True)[1]),
+            self.wall,
         )
         self.leader = Leader(
             settings,
--- a/dunehold/coordination/picture/aims.py
+++ b/dunehold/coordination/picture/aims.py
@@ -55,12 +55,15 @@
     return limit
 
 
-def finish_limit(aim: Objective, spec: JobSpec) -> float | None:
-    """When the aim wants the job complete, from its submission."""
+def finish_limit(aim: Objective, spec: JobSpec, waited_s: float = 0.0) -> float | None:
+    """When the aim wants the job complete, from when it is wanted.
+
+    Deadlines count from its submission, ``waited_s`` earlier: it waited for others meanwhile.
+    """
     if aim.job_class != spec.job_class:
         return None
     if aim.kind == "finished":
         return aim.within_s
     if aim.kind == "deadline" and spec.deadline_s is not None:
-        return spec.deadline_s * aim.times
+        return max(0.0, spec.deadline_s * aim.times - waited_s)
     return None
--- a/dunehold/coordination/picture/guarantees.py
+++ b/dunehold/coordination/picture/guarantees.py
@@ -55,7 +55,7 @@
     sums: dict[Team, Room] = {}
     active = ledger.view.active
     records = [active[job] for job in jobs if job in active]
-    for record in sorted(records, key=lambda r: r.accepted_at):
+    for record in sorted(records, key=lambda r: r.wanted_at):
         progress = jobs[record.id]
         spec = progress.spec
         team = settings.teams.get(spec.team)
--- a/dunehold/coordination/picture/picture.py
+++ b/dunehold/coordination/picture/picture.py
@@ -15,6 +15,7 @@
 from dunehold.coordination.picture.aims import finish_limit, next_limit, put_off
 from dunehold.coordination.picture.estimates import Estimates
 from dunehold.coordination.picture.health import Health
+from dunehold.coordination.picture.heirs import Heirs
 from dunehold.coordination.picture.offers import Demand, FleetHost, Offer, demands_of
 from dunehold.coordination.picture.progress import JobProgress, unfinished
 from dunehold.coordination.scheduler.model import (
@@ -93,27 +94,42 @@
     closes_at: Callable[[Host, MonotonicTime], float] = lambda host, now: math.inf
     spared: Callable[[], frozenset[Team]] = frozenset  # nothing of theirs is stopped by choice
     put_off: dict[JobId, int] = field(default_factory=dict)  # aims given up for others' sake
+    heirs: Heirs = field(init=False)
     _states: dict[HostId, _Pictured] = field(default_factory=dict)
     _fastest_gb_per_s: float = field(init=False)  # asked for with every entry of every plan
 
     def __post_init__(self) -> None:
         rates = (kind.fetch_gb_per_s for kind in self.types.values())
         self._fastest_gb_per_s = max(rates, default=1.0)
+        self.heirs = Heirs(
+            self.ledger, lambda spec: self.estimates.run_s(spec), lambda job: None
+        )
 
     def progress(self, record: JobRecord) -> JobProgress:
         spec = record.spec
         assert spec is not None
         aims = self.settings.objectives
-        limits = sorted(limit for a in aims if (limit := finish_limit(a, spec)) is not None)
         waits = [a.within_s for a in aims if a.kind == "wait" and a.job_class == spec.job_class]
         if spec.kind is Kind.SERVICE and not waits:
             # No aim speaks of it: as soon as whatever the users want started soonest.
             waits = [a.within_s for a in aims if a.kind in ("wait", "guarantee")]
             waits.append(Duration(DEFAULT_SERVICE_S))
         return JobProgress(
-            spec, unfinished(record, self.ledger), limits, min(waits, default=MANY)
+            spec, unfinished(record, self.ledger), self.limits(record), min(waits, default=MANY)
         )
 
+    def limits(self, record: JobRecord) -> list[float]:
+        """When its own aims, and those of jobs that need it, want it complete."""
+        spec, wanted_at = record.spec, record.wanted_at
+        assert spec is not None
+        waited_s = wanted_at - record.accepted_at
+        found = [finish_limit(aim, spec, waited_s) for aim in self.settings.objectives]
+        limits = [limit for limit in found if limit is not None]
+        due_at = self.heirs.due_at(spec.id)
+        if due_at < math.inf:
+            limits.append(max(0.0, due_at - wanted_at))
+        return sorted(limits)
+
     # -- for the scheduler -----------------------------------------------------------
 
     def snapshot(
@@ -158,7 +174,7 @@
         )
 
     def note_arrival(self, spec: JobSpec, now: MonotonicTime) -> None:
-        if spec.rank is not Rank.LOW:
+        if self.heirs.rank(spec) is not Rank.LOW:
             self.burst = max(self._burst(now), spec.tasks * spec.need.cpus)
             self.burst_at = now
 
@@ -224,7 +240,7 @@
     ) -> Entry:
         spec = progress.spec
         run_s = self.estimates.run_s(spec)
-        waited = max(0.0, wall - record.accepted_at)
+        waited = max(0.0, wall - record.wanted_at)
 
         def allowed(host: HostState) -> bool:
             return host_allowed(spec, host.type, host.zone, host.spot)
@@ -237,8 +253,8 @@
             job=spec.id,
             team=spec.team,
             need=spec.need,
-            rank=spec.rank,
-            order=self._order(progress, waited, run_s, record.accepted_at),
+            rank=self.heirs.rank(spec),
+            order=self._order(progress, waited, run_s, record.wanted_at),
             waiting=list(tasks),
             run_s=run_s,
             image=spec.image,
@@ -306,7 +322,7 @@
                 and progress.spec.kind is not Kind.SERVICE
                 and not self.health.broken(job)
             ):
-                ranks.setdefault(progress.spec.rank, []).append(job)
+                ranks.setdefault(self.heirs.rank(progress.spec), []).append(job)
         wanted = 0.0
         for rank in sorted(ranks, reverse=True):
             pending = ranks[rank]
@@ -315,7 +331,7 @@
                 for job in pending:
                     progress = jobs[job]
                     run_s = self.estimates.run_s(progress.spec)
-                    waited = max(0.0, wall - active[job].accepted_at)
+                    waited = max(0.0, wall - active[job].wanted_at)
                     start = next_limit(progress, waited, run_s, rounds) - waited - run_s
                     cpus = len(progress.waiting) * progress.spec.need.cpus
                     rows.append((start, job, cpus, progress.spec.job_class))
@@ -422,7 +438,7 @@
             now + ends,
             now - ran,
             run.tier,
-            spec.rank if spec is not None else Rank.LOW,
+            self.heirs.rank(spec) if spec is not None else Rank.LOW,
             run.team,
             stopping=run.stop_grace is not None,
             gang=spec is not None and spec.kind is Kind.GANG,
@@ -489,7 +505,7 @@
         found = []
         active = self.ledger.view.active
         waiting = [
-            (-progress.spec.rank, active[job].accepted_at, job)
+            (-self.heirs.rank(progress.spec), active[job].wanted_at, job)
             for job, progress in jobs.items()
             if progress.waiting
             and job in active
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -179,6 +179,7 @@
         self.fleet.closed_offers = self.care.closed_offers
         self.picture.closes_at = self.care.closes_at
         self.picture.spared = self.care.spared
+        self.picture.heirs.on_change = self._standing_changed
 
     # -- life --------------------------------------------------------------------------
 
@@ -186,6 +187,8 @@
         now = self.attentive_since = self.now()
         if self.ledger.hosts:
             self._heard_at = MonotonicTime(now + FINDING_S * self.patience)
+        for job in list(self.view.needs.waits):
+            self.picture.heirs.came(job)
         for job in list(self.view.active):
             self._take_up(job)
         self.zones.restore(self.view.zones, now)
@@ -233,11 +236,17 @@
             if record is None:
                 continue
             if record.phase is JobPhase.ACTIVE:
+                self.picture.heirs.look_again(job)
+                if self.view.waits(job):
+                    self.picture.heirs.came(job)
+                    continue
                 if job not in self.progress:
                     self._take_up(job)
                     if record.spec is not None:
                         self.picture.note_arrival(record.spec, self.now())
-            elif self.progress.pop(job, None) is not None:
+                continue
+            self.picture.heirs.over(job)
+            if self.progress.pop(job, None) is not None:
                 log.info("job %s is %s", job, record.phase.value)
                 self.ledger.done.pop(job, None)
                 self.health.forget_job(job)
@@ -250,9 +259,20 @@
         self.care.orders_changed()
         self.make_dirty()
 
+    def _standing_changed(self, job: JobId) -> None:
+        """Another job came, or went, that needs it: its rank, its aims, or both, are others."""
+        record, progress = self.view.active.get(job), self.progress.get(job)
+        if record is None or progress is None:
+            return
+        progress.limits = self.picture.limits(record)
+        for task in self.ledger.by_job.get(job, ()):
+            for run in self.ledger.present.get(task, ()):
+                self.ledger.hosts[run.host].version += 1  # pictured with its rank
+        self.make_dirty()
+
     def _take_up(self, job: JobId) -> None:
         record = self.view.active[job]
-        if record.spec is not None:
+        if record.spec is not None and not self.view.waits(job):
             self.progress[job] = self.picture.progress(record)
 
     def running(self) -> dict[JobId, int]:
@@ -335,7 +355,7 @@
         if self.picture.guaranteed is not None and job in self.picture.guaranteed:
             limit = min(limit, self.picture.guarantee_s)
         if limit < MANY:
-            self.lateness.began(run, progress, limit, self.wall() - record.accepted_at)
+            self.lateness.began(run, progress, limit, self.wall() - record.wanted_at)
 
     def _lost(self, runs: list[Run]) -> None:
         self.care.lost(runs, self.now())
--- a/dunehold/coordination/upkeep/care.py
+++ b/dunehold/coordination/upkeep/care.py
@@ -462,7 +462,7 @@
                     Aboard(
                         run.id,
                         spec.team,
-                        spec.rank,
+                        self.picture.heirs.rank(spec),
                         run.need.cpus,
                         ran,
                         math.inf if service else self.estimates.left_s(spec, ran),
--- a/dunehold/coordination/users/intake.py
+++ b/dunehold/coordination/users/intake.py
@@ -149,6 +149,10 @@
             if spec.id in self.view.jobs:
                 return await self._get(spec.id)
             return Response(422, users.encode_error(str(error)))
+        if spec.awaits:
+            refused = await self._check_awaits(spec)
+            if refused is not None:
+                return refused
         at = WallTime(round(self.wall(), 3))
         if self.submissions.too_large(spec, at):
             most = self.settings.value_bytes
@@ -172,6 +176,34 @@
         )
         return Response(201, users.encode_state(spec.id, "queued"))
 
+    async def _check_awaits(self, spec: JobSpec) -> Response | None:
+        """Why it can't be accepted with what it names, or None.
+
+        Only a proof sent after the question shows that a job is unknown: another node may
+        have accepted it a moment ago, in a pack as well.
+        """
+        if self._never_accepted(spec):
+            try:
+                await self.sync.barrier()
+            except TROUBLE:
+                return BUSY
+            if spec.id in self.view.jobs:
+                return await self._get(spec.id)
+            if any(self.submissions.pending(job) for job in self._never_accepted(spec)):
+                return BUSY  # about to be accepted here
+            if unknown := self._never_accepted(spec):
+                reason = f"awaits: {unknown[0]} was never accepted"
+                return Response(422, users.encode_error(reason))
+        for job in spec.awaits:
+            other = self.view.jobs[job].spec
+            if other is not None and other.kind is Kind.SERVICE:
+                # Never done: whoever waits for it would wait for ever.
+                return Response(422, users.encode_error(f"awaits: {job} is a service"))
+        return None
+
+    def _never_accepted(self, spec: JobSpec) -> list[JobId]:
+        return [job for job in spec.awaits if job not in self.view.jobs]
+
     # -- cancellations -----------------------------------------------------------------
 
     async def _cancel(self, job: JobId) -> Response:
@@ -189,9 +221,7 @@
                     return Response(200, users.encode_state(job, record.phase.value))
                 assert record.spec is not None
                 key = records.job_key(job)
-                value = records.encode_job_record(
-                    record.spec, JobPhase.CANCELLED, record.accepted_at
-                )
+                value = records.encode_cancelled(record, self.settings.value_bytes)
                 # The job's version guards against calling a job cancelled that is done.
                 txn = Txn(guards={key: record.version}, puts={key: value})
                 result = await self.state.txn(txn, Priority.USER)
--- a/dunehold/coordination/users/served.py
+++ b/dunehold/coordination/users/served.py
@@ -81,11 +81,12 @@
         tally.done += 1
         tally.cpu_s += _work(spec)
         tally.served_cpu_s += _work(spec)
-        limits = [finish_limit(aim, spec) for aim in self.settings.objectives]
+        waited_s = record.wanted_at - record.accepted_at
+        limits = [finish_limit(aim, spec, waited_s) for aim in self.settings.objectives]
         known = [limit for limit in limits if limit is not None]
         if known:
             tally.timed += 1
-            tally.in_time += self.wall() - record.accepted_at <= min(known)
+            tally.in_time += self.wall() - record.wanted_at <= min(known)
 
     def picture(self) -> dict[str, Any]:
         """As operators are answered: by class and team, jobs under way included."""
--- a/dunehold/coordination/users/submissions.py
+++ b/dunehold/coordination/users/submissions.py
@@ -87,6 +87,9 @@
         value = records.encode_job_record(spec, JobPhase.ACTIVE, at)
         return len(codec.dump(value)) > self.settings.value_bytes
 
+    def pending(self, job: JobId) -> bool:
+        return job in self._pending
+
     def full(self) -> bool:
         return len(self._pending) >= MAX_PENDING
 
--- a/dunehold/emulator/agents/outside.py
+++ b/dunehold/emulator/agents/outside.py
@@ -112,6 +112,7 @@
     late_share: float = 0.0  # of transactions: no answer, carried out late
     late: LateWrites = field(default_factory=LateWrites)
     delay_s: float = 0.0  # before each request is looked at
+    malformed: list[str] = field(default_factory=list)  # why transactions got 400
     rng: Randomness | None = None
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _under_way: set[asyncio.Task[None]] = field(default_factory=set)
@@ -132,6 +133,8 @@
             return await self._hold(answer, source)
         if target == "/txn":
             self.late.carried_out(source, self.store.revision)
+            if answer.status == 400 and b"no such lease" not in answer.body:
+                self.malformed.append(answer.body.decode())
         return answer
 
     async def _carry_out_late(self, body: bytes | None, source: str) -> None:
--- a/dunehold/emulator/agents/users.py
+++ b/dunehold/emulator/agents/users.py
@@ -46,6 +46,7 @@
     submitted: Callable[[float, int], None] = lambda latency, status: None
     asked: Callable[[float, int], None] = lambda latency, status: None
     final: dict[str, str] = field(default_factory=dict)
+    accepted: set[str] = field(default_factory=set)
 
     async def live(
         self, job: dict[str, Any], cancel_after_s: float | None, intended: float | None = None
@@ -65,6 +66,7 @@
             self.history.add("gave_up", uid=uid, status=answer.status)
             return
         self.history.add("accepted", uid=uid, status=answer.status, asked=began)
+        self.accepted.add(uid)
         if cancel_after_s is not None:
             await asyncio.sleep(cancel_after_s)
             self.history.add("cancel", uid=uid)
--- a/dunehold/emulator/check.py
+++ b/dunehold/emulator/check.py
@@ -109,7 +109,9 @@
         """
         groups: dict[str, list[JobSeen]] = {}
         for job in self.jobs.values():
-            if job.accepted_at is None or job.cancel_asked or job.row["shape"] == "standing":
+            if job.accepted_at is None or job.row["shape"] == "standing":
+                continue
+            if job.cancel_asked or any(b.cancel_asked for b in self._before(job)):
                 continue
             for key in (f"class {job.row['jobclass']}", f"team {job.row['owner']}"):
                 groups.setdefault(key, []).append(job)
@@ -127,6 +129,18 @@
                 found.append(f"{key}: {late} began after {LARGEST_BEGIN_S:g} s or never")
         return found
 
+    def _before(self, job: JobSeen) -> list[JobSeen]:
+        """All jobs that it needs, directly or through others."""
+        found: dict[str, JobSeen] = {}
+        names = list(job.row.get("awaits") or ())
+        while names:
+            name = names.pop()
+            other = self.jobs.get(name)
+            if other is not None and name not in found:
+                found[name] = other
+                names.extend(other.row.get("awaits") or ())
+        return list(found.values())
+
     def _began_late(self, job: JobSeen) -> bool:
         assert job.accepted_at is not None
         began = self._now if job.began_at is None else job.began_at
@@ -180,8 +194,13 @@
             self._break("went_back", f"{uid}: {job.final}, then {phase}")
         if phase == "done":
             self._check_done(uid, job)
+        before = self._before(job)
+        if phase not in FINAL:
+            ends = [b.final_at for b in before if b.final == "cancelled"]
+            if ends and data.get("asked", self._now) > min(ends) + self.cancel_s:
+                self._break("orphaned", f"{uid} is {phase}, what it needs is cancelled")
         if phase == "cancelled":
-            if not job.cancel_asked:
+            if not job.cancel_asked and not any(b.cancel_asked for b in before):
                 self._break("went_back", f"{uid} was never cancelled by its user")
             if job.final is None:
                 self._cancelled.append((uid, self._now))
@@ -246,6 +265,10 @@
             return
         if job.began_at is None:
             job.began_at = self._now
+        for need in job.row.get("awaits") or ():
+            needed = self.jobs.get(need)
+            if needed is None or len(needed.completed) < needed.row["units"]:
+                self._break("too_early", f"{item} starts before {need} is done")
         halls = self._halls.setdefault(uid, Counter())
         halls[place.hall] += 1
         self._take(job.row, 1)
--- a/dunehold/emulator/load.py
+++ b/dunehold/emulator/load.py
@@ -28,7 +28,39 @@
                 break
             times.append((at, table))
     times.sort(key=lambda row: row[0])
-    return [_arrival(scenario, table, n, at, rng) for n, (at, table) in enumerate(times)]
+    found = [_arrival(scenario, table, n, at, rng) for n, (at, table) in enumerate(times)]
+    if scenario.pipelines:
+        found += _pipelines(scenario, len(found), rng)
+        found.sort(key=lambda arrival: arrival.at_s)
+    return found
+
+
+def _pipelines(scenario: Scenario, first: int, rng: Generator) -> list[Arrival]:
+    """Each stage's job names those of the stages that it needs."""
+    classes = {table.jobclass: table for table in scenario.jobs}
+    found: list[Arrival] = []
+    for pipeline in scenario.pipelines:
+        times = [0.0] * pipeline.initial
+        at = 0.0
+        while pipeline.per_s:
+            at += float(rng.exponential(1.0 / pipeline.per_s))
+            if at >= scenario.duration_s:
+                break
+            times.append(at)
+        for at in times:
+            names: list[str] = []
+            cancelled = bool(rng.random() < pipeline.cancelled)
+            for number, stage in enumerate(pipeline.stages):
+                table = classes[stage.jobclass]
+                job = _arrival(scenario, table, first + len(found), at, rng).job
+                last = number == len(pipeline.stages) - 1
+                job["due_s"] = pipeline.due_s if last and pipeline.due_s else None
+                if stage.needs:
+                    job["awaits"] = [names[need] for need in stage.needs]
+                names.append(job["uid"])
+                after = float(rng.uniform(1.0, 10.0)) if cancelled and not number else None
+                found.append(Arrival(at, job, after))
+    return found
 
 
 def _arrival(
--- a/dunehold/emulator/scenario.py
+++ b/dunehold/emulator/scenario.py
@@ -95,6 +95,23 @@
     broken: float = 0.0
 
 
+class StageTable(Table, frozen=True, kw_only=True):
+    """One job of a pipeline, as its class says; it needs the stages with these numbers."""
+
+    jobclass: str
+    needs: list[int] = []
+
+
+class PipelineTable(Table, frozen=True, kw_only=True):
+    """Jobs that wait for others, submitted one after another as those are accepted."""
+
+    stages: list[StageTable]
+    per_s: float = 0.0
+    initial: int = 0
+    due_s: float = 0.0  # of the last stage; 0: none
+    cancelled: float = 0.0  # of the first stage, and so of all
+
+
 class ObjectiveTable(Table, frozen=True, kw_only=True):
     kind: str
     share: float = 0.9
@@ -118,6 +135,7 @@
     cloud: CloudTable = CloudTable()
     objectives: list[ObjectiveTable] = []
     jobs: list[JobTable] = []
+    pipelines: list[PipelineTable] = []
     faults: list[AnyFault] = []
     core_share: float = 1.0
     ram_mb: float = 266.0
@@ -165,6 +183,13 @@
             return f"jobs[{n}].owner: no team is called {job.owner}"
         if job.rank not in ("critical", "high", "normal", "idle"):
             return f"jobs[{n}].rank: must be critical, high, normal or idle"
+    classes = {job.jobclass for job in scenario.jobs}
+    for n, pipeline in enumerate(scenario.pipelines):
+        for m, stage in enumerate(pipeline.stages):
+            if stage.jobclass not in classes:
+                return f"pipelines[{n}].stages[{m}].jobclass: no class is called so"
+            if not all(0 <= need < m for need in stage.needs):
+                return f"pipelines[{n}].stages[{m}].needs: must name earlier stages"
     for n, fault in enumerate(scenario.faults):
         reason = _fault_mistake(scenario, fault)
         if reason is not None:
--- a/dunehold/emulator/serve/play.py
+++ b/dunehold/emulator/serve/play.py
@@ -218,11 +218,21 @@
             raise ClusterError(self.cluster.failure)
         await working
 
+    async def _submit(self, arrival: Arrival, intended: float) -> None:
+        """A job that names others comes as soon as those are accepted."""
+        needed = arrival.job.get("awaits") or ()
+        if needed:
+            while not all(uid in self.users.accepted for uid in needed):
+                await asyncio.sleep(0.05)
+            await self.users.live(arrival.job, arrival.cancel_after_s)
+        else:
+            await self.users.live(arrival.job, arrival.cancel_after_s, intended)
+
     async def _arrive(self, arrivals: list[Arrival], began: float) -> None:
         for arrival in arrivals:
             intended = began + arrival.at_s
             await asyncio.sleep(max(0.0, intended - time.monotonic()))
-            self.cluster.spawn(self.users.live(arrival.job, arrival.cancel_after_s, intended))
+            self.cluster.spawn(self._submit(arrival, intended))
         end = began + self.scenario.duration_s
         await asyncio.sleep(max(0.0, end - time.monotonic()))
 
--- a/dunehold/protocol/peers.py
+++ b/dunehold/protocol/peers.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from dunehold.protocol import codec
@@ -15,6 +16,7 @@
 RUNNING_PATH = "/peer/running"
 PROOF_PATH = "/peer/proof"
 SERVED_PATH = "/peer/served"  # operators ask for it
+WAITS_PATH = "/peer/waits/"  # and a job's id: what it waits for; users' commands ask
 UPKEEP_PATH = "/peer/upkeep"  # of the leader: how far it is with each order
 
 
@@ -22,6 +24,10 @@
     return codec.dump({"running": running})
 
 
+def encode_waits(job: JobId, waits: Iterable[JobId]) -> bytes:
+    return codec.dump({"uid": job, "waits": sorted(waits)})
+
+
 class Sight(NamedTuple):
     """What a node has seen lately, in seconds ago: a proof of a current view, any worker."""
 
--- a/dunehold/protocol/state.py
+++ b/dunehold/protocol/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -100,6 +101,7 @@
     requests: Budget
     writes: Budget
     timeout_s: float = 1.5
+    on_limited: Callable[[], None] = lambda: None  # a rate was refused
 
     async def _call(
         self,
@@ -115,6 +117,8 @@
             await self.requests.take(priority)
         chosen = client or self.client
         status, data = await chosen.request(method, target, body, timeout_s or self.timeout_s)
+        if status == 429:
+            self.on_limited()
         if status in (429, 503):
             raise Unavailable(f"{status}")
         try:
--- a/dunehold/protocol/users.py
+++ b/dunehold/protocol/users.py
@@ -59,6 +59,7 @@
     checkpoint_s: Duration
     save_s: Duration
     deadline_s: Duration | None
+    awaits: tuple[JobId, ...] = ()  # jobs that must be done before any task of it starts
 
 
 def valid_job_id(value: str) -> bool:
@@ -106,9 +107,23 @@
         checkpoint_s=Duration(codec.opt_amount(row, "snapshot_s") or 0.0),
         save_s=Duration(codec.opt_amount(row, "flush_s") or 0.0),
         deadline_s=None if deadline is None else Duration(deadline),
+        awaits=_awaits(uid, row.get("awaits")),
     )
 
 
+def _awaits(uid: str, value: Any) -> tuple[JobId, ...]:
+    """A name given twice counts once; null, omitted and empty are the same."""
+    if value is None:
+        return ()
+    if not isinstance(value, list) or not all(
+        isinstance(name, str) and valid_job_id(name) for name in value
+    ):
+        raise BadMessage("awaits must be a list of job ids such as job-000412")
+    if uid in value:
+        raise BadMessage("awaits must not name the job itself")
+    return tuple(JobId(name) for name in dict.fromkeys(value))
+
+
 def _types(value: Any) -> tuple[TypeName, ...] | None:
     if value is None:
         return None
@@ -120,8 +135,11 @@
 
 
 def encode_job(spec: JobSpec) -> dict[str, Any]:
-    """The same form that users send; also what the state service keeps."""
-    return {
+    """The same form that users send; also what the state service keeps.
+
+    ``awaits`` only where there are any: earlier versions read the same records.
+    """
+    row = {
         "uid": spec.id,
         "jobclass": spec.job_class,
         "owner": spec.team,
@@ -143,6 +161,7 @@
         "flush_s": spec.save_s,
         "due_s": spec.deadline_s,
     }
+    return row | {"awaits": spec.awaits} if spec.awaits else row
 
 
 def encode_state(
--- a/dunehold/settings.py
+++ b/dunehold/settings.py
@@ -103,13 +103,16 @@
     cancel_s: Duration
     state_rps: float
     state_write_rps: float
-    value_bytes: int
-    txn_ops: int
+    value_bytes: int  # of what is written: the smaller of now and later
+    txn_ops: int  # the same
     cloud_rps: float
     list_lag_s: Duration
     core_share: float
     memory_mb: float
     sockets: int
+    write_burst: float = 0.0  # changes at once, as far as the rate allows
+    later_rps: float | None = None  # rates that will hold from some moment, without notice
+    later_write_rps: float | None = None
     operator: OperatorSettings = field(default_factory=OperatorSettings)
 
     @property
@@ -189,6 +192,11 @@
     params, services = root.table("params"), root.table("endpoints")
     workers, state = params.table("workers"), params.table("state")
     cloud, machine = params.table("cloud"), params.table("machine_limits")
+    # What the state service will allow from some moment. Sizes keep to the smaller of both
+    # from the start, since what is too large is refused for good; rates once refusals show it.
+    later = state.table("next") if "next" in state.values else _Table({}, "params.state.next")
+    value_kb, txn_ops = state.number("value_kb", least=1.0), state.number("txn_ops", least=2.0)
+    rps, write_rps = state.number("rps", least=1.0), state.number("write_rps", least=1.0)
     zones = tuple(Zone(zone) for zone in params.texts("zones"))
     settings = Settings(
         node=NodeId(root.text("host_name")),
@@ -208,10 +216,13 @@
         report_s=Duration(workers.number("report_s", least=0.01)),
         lease_s=Duration(workers.number("lease_s", least=1.0)),
         cancel_s=Duration(workers.number("cancel_s", least=1.0)),
-        state_rps=state.number("rps", least=1.0),
-        state_write_rps=state.number("write_rps", least=1.0),
-        value_bytes=int(state.number("value_kb", least=1.0) * 1024),
-        txn_ops=int(state.number("txn_ops", least=2.0)),
+        state_rps=rps,
+        state_write_rps=write_rps,
+        value_bytes=int(min(value_kb, later.number("value_kb", value_kb, least=1.0)) * 1024),
+        txn_ops=int(min(txn_ops, later.number("txn_ops", txn_ops, least=2.0))),
+        write_burst=txn_ops,
+        later_rps=min(rps, later.number("rps", rps, least=1.0)),
+        later_write_rps=min(write_rps, later.number("write_rps", write_rps, least=1.0)),
         cloud_rps=cloud.number("rps", least=0.01),
         list_lag_s=Duration(cloud.number("list_lag_s")),
         core_share=machine.number("core_share", 1.0, least=0.01),
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -18,7 +18,7 @@
 from dunehold.coordination.node import Node
 from dunehold.coordination.picture.picture import Picture
 from dunehold.emulator.aims import Aims
-from dunehold.emulator.check import UNHEARD_S, Checker, check
+from dunehold.emulator.check import UNHEARD_S, Checker, JobSeen, check
 from dunehold.emulator.history import Event, History, read
 from dunehold.emulator.scenario import ObjectiveTable
 from dunehold.protocol import users
@@ -294,3 +294,56 @@
     assert [met.share for met in aims.met()] == [0.5, 1.0, 0.0]
     aims.feed(Event(19.0, "cancel", {"uid": "job-1"}))
     assert [met.counted for met in aims.met()] == [0, 0, 0]
+
+
+def _one_job(calm: float | None, answered: float) -> Checker:
+    """A job about which nobody answers from 100 s on, while others are answered or not."""
+    checker = Checker({}, 30.0)
+    checker.calm_since = calm
+    row = {"units": 1, "vcpus": 1.0, "owner": "blue", "jobclass": "c", "shape": "batch"}
+    for uid in ("job-1", "job-2"):
+        checker.feed(Event(1.0, "job", {"uid": uid, "job": row}))
+        checker.feed(Event(2.0, "told", {"uid": uid, "phase": "queued"}))
+    for second in range(100, 186, 5):
+        checker.feed(Event(float(second), "silent", {"uid": "job-1"}))
+        good = second / 5 % 10 < answered * 10
+        kind, data = ("told", {"phase": "queued"}) if good else ("silent", {})
+        checker.feed(Event(second + 0.5, kind, {"uid": "job-2", **data}))
+    return checker
+
+
+def test_once_all_is_calm_75_s_without_an_answer_are_forgotten() -> None:
+    """However others fare; before that, 90 s, and only while most are answered."""
+    assert not _one_job(None, 1.0).breaches  # 85 s
+    assert not _one_job(130.0, 1.0).breaches  # 55 s of them calm
+    assert {breach.rule for breach in _one_job(90.0, 0.0).breaches} == {"forgotten"}
+
+
+def test_who_was_not_served_is_found() -> None:
+    checker = Checker({}, 30.0)
+
+    def job(uid: str, units: int, began: float | None, done: bool, **more: Any) -> None:
+        row = {"units": units, "vcpus": 1.0, "owner": "blue", "jobclass": "c"}
+        seen = checker.jobs.setdefault(uid, JobSeen(row | {"shape": "batch"} | more))
+        seen.accepted_at, seen.began_at = 0.0, began
+        seen.final = "done" if done else None
+
+    for number in range(9):
+        job(f"job-{number}", 2, 10.0, True)
+    job("job-9", 200, 100.0, True)
+    assert checker.unserved() == []
+    job("job-9", 200, 241.0, True)
+    assert [line for line in checker.unserved() if "began after" in line]
+    job("job-9", 200, 100.0, False)
+    assert checker.unserved() == ["largest of class c: 0 of 1 served"]
+    for number in range(10, 30):
+        job(f"job-{number}", 1, None, False, owner="red", jobclass="d")
+    found = checker.unserved()
+    assert {"class d: 0 of 20 served", "team red: 0 of 20 served"} <= set(found)
+    for number in range(
+        10, 30
+    ):  # cancelled along with one that they need is asked for by nobody
+        checker.jobs[f"job-{number}"].row["awaits"] = ["job-30"]
+    job("job-30", 1, None, False)
+    checker.jobs["job-30"].cancel_asked = True
+    assert not [line for line in checker.unserved() if " d:" in line or "red" in line]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -122,3 +122,34 @@
     assert "train 9 7 5/7 1 2.00 1.50 0.750" in [" ".join(line.split()) for line in printed]
     assert printed[-1] == "zones: north lost"
     assert report.served(row | {"zones": {}}).endswith("zones: all well")
+
+
+NEXT = "\n[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 15.0\n"
+
+
+def test_sizes_keep_to_the_smaller_of_now_and_later(tmp_path: Path) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text(GOOD + NEXT)
+    later = load(path)
+    assert (later.value_bytes, later.txn_ops, later.write_burst) == (2048, 4, 12.0)
+    assert (later.state_write_rps, later.later_write_rps, later.later_rps) == (20.0, 15.0, 80.0)
+    path.write_text(GOOD + "\n[params.state.next]\nvalue_kb = 8.0\n")
+    larger = load(path)
+    assert (larger.value_bytes, larger.txn_ops, larger.later_write_rps) == (4096, 12, 20.0)
+
+
+@pytest.mark.parametrize("line", ['txn_ops = "4"', "value_kb = 0.1", "rps = -1", "txn_ops = 1"])
+def test_later_limits_are_checked_like_the_rest(tmp_path: Path, line: str) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text(GOOD + f"\n[params.state.next]\n{line}\n")
+    with pytest.raises(SettingsError, match=f"params.state.next.{line.split()[0]}"):
+        load(path)
+
+
+def test_a_bad_list_of_needs_is_told_at_once(tmp_path: Path) -> None:
+    job = tmp_path / "job.json"
+    row = '"uid":"job-1","jobclass":"c","owner":"t","shape":"batch","rank":"normal","units":1'
+    rest = '"vcpus":1,"memory_gb":1,"bundle":"i","size_gb":1,"expect_s":1,"awaits":["job-1"]'
+    job.write_text("{" + row + "," + rest + "}")
+    done = run("submit", str(job), "--server", "127.0.0.1:1")
+    assert done.returncode == 2 and "awaits must not name the job itself" in done.stderr
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -489,6 +489,39 @@
     )
 
 
+# -- reports that can't be -----------------------------------------------------------------
+
+
+async def bad_reports(world: World) -> None:
+    """Malformed, of an impossible session, of a token that no leader has taken."""
+    await asyncio.sleep(25.0)
+    box = leader_of(world)
+    assert box is not None and box.node is not None and box.node.leader is not None
+    leader, name = box.node.leader, next(iter(world.cloud.workers))
+    good = world.cloud.workers[name].worker.report()
+    before = dict(world.state.store.rows)
+    for bad in (
+        b"x", b"[]", b"{}", orjson.dumps(good | {"tenure": 0}),
+        orjson.dumps(good | {"tenure": -1}), orjson.dumps(good | {"tally": 1.5}),
+        orjson.dumps(good | {"units": [{"item": "x/0", "try": 1, "phase": "running"}]}),
+        orjson.dumps(good | {"units": [{"item": "job-1/0", "try": 1, "phase": "flying"}]}),
+    ):  # fmt: skip
+        world.met[str(box.node._report(bad).status)] += 1
+    for _ in range(50):
+        world.met[str(box.node._report(orjson.dumps(good | {"baton": 2**40})).status)] += 1
+    world.met["changed"] = sum(
+        before[key] != row for key, row in world.state.store.rows.items()
+    )
+    await asyncio.sleep(10.0)
+    world.met["still leads"] = box.node is not None and box.node.leader is leader
+
+
+def test_reports_that_can_t_be_change_nothing_and_end_no_term() -> None:
+    met = play(290, bad_reports).met
+    assert met["400"] == 8 and met["503"] == 50
+    assert met["still leads"] and not met["changed"]
+
+
 # -- drawn at random ---------------------------------------------------------------------
 
 MEETINGS: list[Faults] = [
--- a/tests/test_packs.py
+++ b/tests/test_packs.py
@@ -135,7 +135,7 @@
         state: Any = None
         sync: Any = None
         self.submissions = Submissions(config, state, self.view, sync, name)
-        self.ends = Ends(config, Token(1 + int(name[1:])))
+        self.ends = Ends(config, Token(1 + int(name[1:])), lambda: 1.0)
         self.told: dict[str, str] = {}
 
 
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,287 @@
+"""The version in production and this one beside each other, each on the other's data.
+
+The earlier version is taken from the repository's own history, as ``production`` in
+``deploy/service.toml`` names it. A clone without that history has the recorded data alone,
+and says so.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import io
+import subprocess
+import sys
+import tarfile
+import tomllib
+import warnings
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import fields
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from dunehold.bookkeeping.view import View
+from dunehold.protocol.state import Change, Entry
+from dunehold.settings import Settings
+from dunehold.transport.http import NoResponse, Refused
+from dunehold.types import JobPhase, Revision
+from tests import world as world_module
+from tests.test_awaits import with_pipelines
+from tests.test_meetings import late_writes, leader_of
+from tests.test_orders import Ordered, replace_and_crashes
+from tests.test_rules import crashes, cuts, everything, outages, play
+from tests.test_zone_loss import cut_off
+from tests.world import ZONES, RuleBroken, World
+
+ROOT = Path(__file__).resolve().parent.parent
+RECORDED = ROOT / "tests" / "recorded-production.json"
+
+
+class Production:
+    """Nodes of the version in production, living in this process beside the present one."""
+
+    def __init__(self, tree: Path) -> None:
+        ours = {name: m for name, m in sys.modules.items() if name.split(".")[0] == "dunehold"}
+        for name in ours:
+            del sys.modules[name]
+        sys.path.insert(0, str(tree))
+        try:
+            node = importlib.import_module("dunehold.coordination.node")
+            self.http = importlib.import_module("dunehold.transport.http")
+            self.settings = importlib.import_module("dunehold.settings")
+            assert str(tree) in str(node.__file__)
+        finally:
+            sys.path.remove(str(tree))
+            for name in [n for n in sys.modules if n.split(".")[0] == "dunehold"]:
+                del sys.modules[name]
+            sys.modules.update(ours)
+        self._node = node.Node
+
+    def node(self, settings: Settings, connect: Any, **more: Any) -> Any:
+        known = {f.name for f in fields(self.settings.Settings)}
+        values = {f.name: getattr(settings, f.name) for f in fields(Settings)}
+        old = {name: value for name, value in values.items() if name in known}
+        old["value_bytes"], old["txn_ops"] = world_module.FIRST  # it knows of no later limits
+        return self._node(self.settings.Settings(**old), connect, **more)
+
+    def connect(self, connect: Any) -> Any:
+        http = self.http
+
+        class Client:
+            def __init__(self, *address: Any) -> None:
+                self.client = connect(*address)
+
+            async def request(self, *call: Any) -> Any:
+                try:
+                    return await self.client.request(*call)
+                except Refused as error:
+                    raise http.Refused(str(error)) from None
+                except NoResponse as error:
+                    raise http.NoResponse(str(error)) from None
+
+            def close(self) -> None:
+                pass
+
+        return Client
+
+
+@pytest.fixture(scope="module")
+def production(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Production | None]:
+    commit = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())["production"]
+    found = subprocess.run(
+        ["git", "archive", commit, "dunehold"], cwd=ROOT, capture_output=True, check=False
+    )
+    if found.returncode:
+        warnings.warn(
+            f"{commit} is not in this clone: the recorded data alone is played", stacklevel=1
+        )
+        yield None
+        return
+    tree = tmp_path_factory.mktemp("production")
+    with tarfile.open(fileobj=io.BytesIO(found.stdout)) as archive:
+        archive.extractall(tree, filter="data")
+    yield Production(tree)
+
+
+def _leads(world: World) -> str | None:
+    box = leader_of(world)
+    return None if box is None else "new" if box.upgraded else "old"
+
+
+async def roll(world: World) -> None:
+    """A few at a time come back new; some crash before their turn, and come back old."""
+    await asyncio.sleep(18.0)
+    boxes = world.rng.sample(world.nodes, len(world.nodes))
+    while boxes:
+        if world.rng.random() < 0.5:
+            box = world.rng.choice(world.nodes)
+            await box.restart(world.rng.uniform(0.2, 3.0))  # as whatever it is by now
+            world.met["back old"] += not box.upgraded
+        for _ in range(min(len(boxes), world.rng.choice([1, 1, 2]))):
+            box = boxes.pop()
+            box.upgraded = True
+            world.spawn(box.restart(world.rng.uniform(0.2, 3.0)))
+        await asyncio.sleep(world.rng.uniform(3.0, 8.0))
+    await asyncio.sleep(4.0)
+    world.pipelines = 0.5
+
+
+async def who_leads(world: World) -> None:
+    last = None
+    while True:
+        led = _leads(world)
+        if led is not None and led != last:
+            world.met[f"{led} leads"] += 1
+            last = led
+        await asyncio.sleep(0.2)
+
+
+def upgrade(old: Production, *faults: Callable[[World], Awaitable[None]]) -> Any:
+    async def day(world: World) -> None:
+        for box in world.nodes:
+            box.crash()
+        world.old = old
+        for box in world.nodes:
+            box.upgraded = False
+            box.boot()
+        for fault in (roll, who_leads, *faults):
+            world.spawn(fault(world))
+
+    return day
+
+
+@pytest.mark.parametrize("seed", range(400, 404))
+@pytest.mark.parametrize("fault", [crashes, cuts, outages, late_writes, everything])
+def test_both_versions_serve_side_by_side(
+    production: Production | None, fault: Any, seed: int
+) -> None:
+    if production is None:
+        return _recorded_is_read()
+    world = play(seed, upgrade(production, fault), nodes=(3, 5)[seed % 2])
+    assert world.met["old leads"] and world.met["new leads"], world.met
+    assert world.checker.starts > 10 and any(job.get("awaits") for job in world.made)
+
+
+# -- the state service's later limits -------------------------------------------------------
+
+
+async def lower(world: World) -> None:
+    """Swarms of jobs before and after the limits fall, so that writers fill what they may."""
+    for number in range(4):
+        await asyncio.sleep(14.0)
+        for each in range(60):
+            job = world.make_job(500_000 + 100 * number + each)
+            job |= {"shape": "batch", "units": 1 + each % 3, "vcpus": 0.5, "flavours": None}
+            job |= {"real_s": 2.0, "hall": None, "spread": False}
+            world.jobs.upload(job)
+            world.spawn(world.users.live(job, 1.0 if each % 9 == 0 else None))
+        if number == 1:
+            while not all(box.upgraded and box.node is not None for box in world.nodes):
+                await asyncio.sleep(0.5)
+            world.state.lower()
+
+
+async def orders(world: World) -> None:
+    """Operators' orders, and a zone that is lost and comes back, under the later limits."""
+    world.state.lower()
+    world.spawn(replace_and_crashes(world))
+    await asyncio.sleep(40.0)
+    await cut_off(world, ZONES[1], 30.0)
+
+
+@pytest.fixture
+def smaller(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(world_module, "LATER", (2048, 4))
+    monkeypatch.setattr(world_module, "LATER_WRITE_RPS", 25.0)
+
+
+@pytest.mark.parametrize("seed", range(410, 413))
+@pytest.mark.parametrize("fault", [crashes, late_writes, everything])
+def test_every_writer_keeps_to_the_later_limits(
+    smaller: None, production: Production | None, fault: Any, seed: int
+) -> None:
+    """Values of the earlier version, and lower limits in the midst of it."""
+    faults = [fault, lower]
+    day = upgrade(production, *faults) if production else with_pipelines(*faults)
+    world = play(seed, day, nodes=3)
+    assert world.checker.starts > 10 and not world.state.malformed
+
+
+def test_orders_and_zones_keep_to_the_later_limits(
+    smaller: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("tests.test_rules.World", Ordered)
+    world = play(414, orders, nodes=5)
+    keys = {key.split("/")[1] for key in world.state.store.rows}
+    assert {"orders", "upkeep"} & keys and not world.state.malformed
+
+
+def test_limits_that_a_writer_ignores_are_found(
+    smaller: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    settings = World.settings
+
+    def first(self: World, index: int) -> Settings:
+        from dataclasses import replace
+
+        size, ops = world_module.FIRST
+        return replace(settings(self, index), value_bytes=size, txn_ops=ops)
+
+    monkeypatch.setattr(World, "settings", first)
+    try:
+        found = play(410, with_pipelines(crashes, lower)).state.malformed
+    except RuleBroken:
+        return
+    assert found
+
+
+# -- recorded values --------------------------------------------------------------------
+
+
+def _recorded_is_read() -> None:
+    rows = orjson.loads(RECORDED.read_bytes())
+    view = View()
+    entries = [Entry(key, value, Revision(stamp)) for key, value, stamp in rows]
+    view.load(entries, Revision(max(stamp for *_, stamp in rows)))
+    view.link()
+    for key, value, stamp in rows:  # and one by one, as they were written
+        view.apply([Change(key, value, Revision(stamp), False)], Revision(stamp))
+    kinds = {key.split("/")[1] for key, *_ in rows}
+    assert {"leader", "token", "jobs", "hosts", "starts"} <= kinds
+    assert {record.phase for record in view.jobs.values()} == set(JobPhase)
+    assert view.hosts and view.leader and any(view.starts.values())
+    assert not view.needs.waits
+
+
+def test_recorded_values_of_the_version_in_production_are_read() -> None:
+    _recorded_is_read()
+
+
+def record(tree: Path) -> None:
+    """Write ``recorded-production.json``: what that version left behind after a day."""
+
+    async def keep(world: World) -> None:
+        await asyncio.sleep(95.0)
+        rows = [
+            [key, orjson.loads(row.value), row.stamp]
+            for key, row in world.state.store.rows.items()
+        ]
+        RECORDED.write_bytes(orjson.dumps(sorted(rows)))
+
+    async def day(world: World) -> None:
+        world.old = Production(tree)
+        for box in world.nodes:
+            box.crash()
+            box.upgraded = False
+            box.boot()
+        world.spawn(keep(world))
+        world.spawn(late_writes(world))
+
+    play(420, day)
+
+
+if __name__ == "__main__":
+    record(Path(sys.argv[1]))
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from dunehold.coordination.node import Node
 from dunehold.emulator.agents.outside import CloudAgent, StateAgent, WorkerAgent
@@ -20,6 +20,7 @@
 from dunehold.emulator.agents.users import Users
 from dunehold.emulator.check import Breach, Checker
 from dunehold.emulator.history import Event, History
+from dunehold.emulator.model.base import Rate
 from dunehold.emulator.model.cloud import Boots, Cloud, Flavour, Kind
 from dunehold.emulator.model.jobs import Jobs
 from dunehold.emulator.model.store import Limits, Store
@@ -38,11 +39,22 @@
 ZONES = ("north", "south")
 LEASE_S, CANCEL_S, REPORT_S = 10.0, 30.0, 2.0
 CALM_S = 60.0
+FIRST = LATER = (4096, 12)  # bytes of a value, changes of a transaction; what will hold later
+LATER_WRITE_RPS: float | None = None
 TYPES = {"small": (4.0, 16.0, 0.2, 5), "big": (16.0, 64.0, 0.9, 1)}
 Answer = tuple[int, bytes, float]  # with Retry-After
 Service = Callable[[str, str, bytes | None, str], Awaitable[Answer]]
 
 
+class OldVersion(Protocol):
+    """An earlier version's node, to be had in the same world."""
+
+    node: Any
+
+    def connect(self, connect: Any) -> Any:
+        """Clients whose failures are that version's."""
+
+
 class RuleBroken(AssertionError):
     pass
 
@@ -138,6 +150,11 @@
         self.store.end_outage(asyncio.get_running_loop().time())
         self.poke()
 
+    def lower(self) -> None:
+        """The limits of later hold from now on, without notice."""
+        self.store.limits = Limits(None, LATER_WRITE_RPS, *LATER)
+        self.store._writes = Rate(LATER_WRITE_RPS)
+
     async def refuse(self, node: str, seconds: float) -> None:
         """The node alone gets 503, in whichever life."""
         names = {node, *(f"{node}#{life}" for life in range(50))}
@@ -171,6 +188,7 @@
     def __init__(self, world: World, index: int) -> None:
         self.world, self.index, self.name = world, index, f"n{index}"
         self.life = 0
+        self.upgraded = False  # where the world begins with an earlier version
         self.node: Node | None = None
         self.task: asyncio.Task[None] | None = None
         self.context = contextvars.Context()
@@ -179,6 +197,7 @@
 
     def boot(self) -> None:
         self.life += 1
+        self.upgraded = self.upgraded or self.world.old is None  # once new, it stays so
         source = f"{self.name}#{self.life}"
         network = self.world.network
         network.place(source, ZONES[self.index % len(ZONES)])
@@ -186,9 +205,11 @@
         def connect(host: str, port: int, links: int) -> FakeClient:
             return FakeClient(network, source, host)
 
-        self.node = Node(
+        old = None if self.upgraded else self.world.old
+        made = Node if old is None else old.node
+        self.node = made(
             self.world.settings(self.index),
-            connect,
+            connect if old is None else old.connect(connect),
             wall=self.world.now,
             incarnation=f"{self.name}-{self.life}",
         )
@@ -258,7 +279,9 @@
             self.broken,  # type: ignore[arg-type]
         )
         self.errors = 0  # tasks that failed
-        self.state = StateService(Store(Limits(None, None, 4096, 12)), rng=self.rng)
+        self.pipelines = 0.0  # share of arrivals that are several jobs which wait for others
+        self.old: OldVersion | None = None  # that nodes run until their turn comes
+        self.state = StateService(Store(Limits(None, None, *FIRST)), rng=self.rng)
         self.network.services["state"] = self._served(self.state.handle)
         self.nodes = [NodeBox(self, index) for index in range(nodes)]
         self.jobs = Jobs(self.rng)
@@ -363,8 +386,10 @@
             cancel_s=Duration(CANCEL_S),
             state_rps=200.0,
             state_write_rps=60.0,
-            value_bytes=4096,
-            txn_ops=12,
+            value_bytes=min(FIRST[0], LATER[0]),
+            txn_ops=min(FIRST[1], LATER[1]),
+            write_burst=float(FIRST[1]),
+            later_write_rps=LATER_WRITE_RPS,
             cloud_rps=5.0,
             list_lag_s=Duration(2.0),
             core_share=1.0,
@@ -443,6 +468,10 @@
         number = 0
         while self.now() < until:
             number += 1
+            if self.pipelines and self.rng.random() < self.pipelines:
+                self.spawn(self._pipeline(number * 1000))
+                await asyncio.sleep(self.rng.expovariate(0.4))
+                continue
             job = self.make_job(number)
             self.jobs.upload(job)
             drawn = self.rng.uniform(1.0, 30.0) if self.rng.random() < 0.2 else None
@@ -455,6 +484,43 @@
         await asyncio.sleep(CALM_S)
         self.checker.calm_since = self.now()
 
+    def graph(self) -> list[list[int]]:
+        """What each job of a pipeline needs: a chain, a diamond, a fan or anything."""
+        rng = self.rng
+        return rng.choice(
+            [
+                [[], [0], [1], [2]],
+                [[], [0], [0], [1, 2]],
+                [[], [0], [0], [0], [1, 2, 3]],
+                [[], [], [0, 1], [2], [2]],
+                [sorted(rng.sample(range(n), rng.randint(0, min(n, 2)))) for n in range(6)],
+            ]
+        )
+
+    async def _pipeline(self, number: int) -> None:
+        """Each job as soon as those that it needs are accepted, or some time after."""
+        rng, names = self.rng, []
+        earlier = [
+            uid for uid in self.users.accepted if self.jobs.rows[uid]["shape"] == "batch"
+        ]
+        for count, needs in enumerate(self.graph()):
+            job = self.make_job(number + count)
+            job |= {"shape": "batch", "real_s": rng.uniform(1.0, 8.0), "expect_s": 4.0}
+            needed = [names[need] for need in needs]
+            if needs == [] and earlier and rng.random() < 0.3:
+                needed = [rng.choice(sorted(earlier))]
+            job["awaits"] = needed
+            names.append(job["uid"])
+            late = rng.random() < 0.15
+            while not all(
+                uid in self.users.accepted and (not late or uid in self.users.final)
+                for uid in needed
+            ):
+                await asyncio.sleep(0.3)
+            self.jobs.upload(job)
+            drawn = rng.uniform(0.5, 20.0) if rng.random() < 0.1 else None
+            self.spawn(self.users.live(job, drawn))
+
     async def play(
         self, faults: Callable[[World], Awaitable[None]], busy_s: float, end_s: float
     ) -> None:
