A list of needs that fits no value is refused before anything is asked; what is refused tested

A list beyond what a value holds gets 422 at once, with no proof asked for. Tests: garbage of workers and peers, a record that the state service finds malformed for good, rates that fall by refusals and not by one burst, what a waiting job waits for. One piece asks whether a job is known by a proof.

--- a/dunehold/coordination/users/intake.py
+++ b/dunehold/coordination/users/intake.py
@@ -142,21 +142,16 @@
             check_possible(spec, self.settings, types)
         except Impossible as error:
             # Another node may have accepted this id already: that answer must stand.
-            try:
-                await self.sync.barrier()
-            except TROUBLE:
-                return BUSY
-            if spec.id in self.view.jobs:
-                return await self._get(spec.id)
-            return Response(422, users.encode_error(str(error)))
-        if spec.awaits:
-            refused = await self._check_awaits(spec)
-            if refused is not None:
-                return refused
+            known = await self._known_by_proof(spec.id)
+            return known or Response(422, users.encode_error(str(error)))
         at = WallTime(round(self.wall(), 3))
         if self.submissions.too_large(spec, at):
             most = self.settings.value_bytes
             return Response(422, users.encode_error(f"takes more than {most} bytes"))
+        if spec.awaits:
+            refused = await self._check_awaits(spec)
+            if refused is not None:
+                return refused
         queued_s = self.submissions.wait_s()
         if self.submissions.full() or queued_s > LONGEST_QUEUE_S:
             later = min(MAX_RETRY_S, math.ceil(queued_s))
@@ -183,12 +178,9 @@
         have accepted it a moment ago, in a pack as well.
         """
         if self._never_accepted(spec):
-            try:
-                await self.sync.barrier()
-            except TROUBLE:
-                return BUSY
-            if spec.id in self.view.jobs:
-                return await self._get(spec.id)
+            known = await self._known_by_proof(spec.id)
+            if known is not None:
+                return known
             if any(self.submissions.pending(job) for job in self._never_accepted(spec)):
                 return BUSY  # about to be accepted here
             if unknown := self._never_accepted(spec):
@@ -201,6 +193,14 @@
                 return Response(422, users.encode_error(f"awaits: {job} is a service"))
         return None
 
+    async def _known_by_proof(self, job: JobId) -> Response | None:
+        """Its state where it is accepted; 503 where nobody can tell; None: it is not known."""
+        try:
+            await self.sync.barrier()
+        except TROUBLE:
+            return BUSY
+        return await self._get(job) if job in self.view.jobs else None
+
     def _never_accepted(self, spec: JobSpec) -> list[JobId]:
         return [job for job in spec.awaits if job not in self.view.jobs]
 
--- a/tests/test_awaits.py
+++ b/tests/test_awaits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
@@ -312,6 +313,12 @@
     if host is not None:
         task = records.TaskId(record.id, 0)
         found["refusal"] = leader.ledger.refusal(record, task, host, leader.now())
+    long = follower | {"uid": "job-900004", "awaits": [f"job-{n:06d}" for n in range(400)]}
+    found["long"] = await asked(world, long)
+    for box in world.nodes:
+        path = "/peer/waits/job-900003"
+        status, data, _ = await world.network.ask("me", box.name, "GET", path, None, 1.0)
+        found.setdefault("told", []).append((status, orjson.loads(data)["waits"]))
     world.waited = found  # type: ignore[assignment]
 
 
@@ -323,6 +330,8 @@
     assert found["itself"][0] == 400
     assert found["accepted"][0] == 201 and found["again"][0] == 200
     assert found["waits"] and found["refusal"] == "job waits for others"
+    assert found["long"][0] == 422 and "bytes" in found["long"][1]["error"]
+    assert found["told"] == [(200, ["job-900001"])] * 3
 
 
 def test_rank_and_deadline_come_from_the_last_job(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -356,3 +365,27 @@
     assert heirs.rank(spec(1, rank="idle")) is Rank.LOW and set(told) == {
         uid(n) for n in range(1, 5)
     }
+
+
+if __name__ == "__main__":
+    # What it costs: python -m tests.test_awaits (docs/measurements/awaits.md)
+    for share in (0.0, 0.6):
+        made = changes = 0
+        for seed in range(320, 324):
+
+            async def some(world: World, share: float = share) -> None:
+                world.pipelines = share
+
+            world = play(seed, some)
+            made += len(world.made)
+            changes += world.state.store.revision
+        print(f"pipelines {share}: {made} jobs, {changes / made:.2f} transactions a job")
+    for waiting in (0, 1_000, 10_000):
+        needs = Needs()
+        for number in range(waiting):
+            needs.add(uid(number + 100_000), [uid(number % 50)])
+        began = time.perf_counter()
+        for number in range(1_000):
+            needs.done(uid(number + 1_000))
+        spent = time.perf_counter() - began
+        print(f"{waiting} wait: {spent * 1e3:.2f} ms for the ends of 1,000 others")
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -30,7 +30,7 @@
 from dunehold.transport.http import NoResponse
 from dunehold.types import MonotonicTime, Sequence, Session, Token
 from tests.test_rules import BUSY_S, crashes, play
-from tests.world import NodeBox, RuleBroken, World
+from tests.world import Answer, NodeBox, RuleBroken, World
 
 Faults = Callable[[World], Awaitable[None]]
 
@@ -522,6 +522,37 @@
     assert met["still leads"] and not met["changed"]
 
 
+async def bad_answers(world: World) -> None:
+    """Workers' answers to direct calls, and peers' messages, are garbage now and then."""
+    garbage = [b"", b"[]", b"{", b'{"running":[]}', b'{"age_s":"x"}', b'{"host":1,"units":{}}']
+    world.spawn(crashes(world))
+    while True:
+        await asyncio.sleep(0.5)
+        names = [*world.cloud.workers, *(box.name for box in world.nodes)]
+        for name in names:
+            serve = world.network.services.get(name)
+            if serve is None or getattr(serve, "spoilt", False):
+                continue
+
+            async def spoilt(
+                method: str, target: str, body: bytes | None, source: str, serve: Any = serve
+            ) -> Answer:
+                answer = await serve(method, target, body, source)
+                asked = target.startswith(("/peer/", "/orders", "/status"))
+                if asked and world.rng.random() < 0.2:
+                    world.met["garbage"] += 1
+                    return 200, world.rng.choice(garbage), 0.0
+                return answer
+
+            spoilt.spoilt = True  # type: ignore[attr-defined]
+            world.network.services[name] = spoilt
+
+
+def test_answers_that_can_t_be_read_end_nothing() -> None:
+    world = play(291, bad_answers)
+    assert world.met["garbage"] > 20 and world.checker.starts > 20
+
+
 # -- drawn at random ---------------------------------------------------------------------
 
 MEETINGS: list[Faults] = [
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -24,6 +24,7 @@
 import pytest
 
 from dunehold.bookkeeping.view import View
+from dunehold.emulator.model.base import reply
 from dunehold.protocol.state import Change, Entry
 from dunehold.settings import Settings
 from dunehold.transport.http import NoResponse, Refused
@@ -238,6 +239,53 @@
     assert found
 
 
+async def poisoned(world: World) -> None:
+    """The state service finds one job's end malformed, whatever else is in the transaction."""
+    handle = world.state.store.handle
+
+    def choosy(method: str, target: str, body: bytes | None, *call: Any) -> Any:
+        if target == "/txn" and b'job-000003","v":{"phase":"done' in (body or b""):
+            world.met["refused"] += 1
+            return reply(400, {"error": "too odd"})
+        return handle(method, target, body, *call)
+
+    world.state.store = Choosy(world.state.store, choosy)  # type: ignore[assignment]
+
+
+class Choosy:
+    def __init__(self, store: Any, handle: Any) -> None:
+        self.store, self.handle = store, handle
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.store, name)
+
+
+def test_a_record_that_is_refused_for_good_holds_up_no_other() -> None:
+    world = play(415, poisoned)
+    done = [uid for uid, phase in world.told.items() if phase == "done"]
+    assert world.met["refused"] and "job-000003" not in done
+    assert world.met["refused"] < 240 and len(done) > 10
+
+
+def test_rates_fall_when_refusals_show_it_and_not_for_one_burst() -> None:
+    async def day(world: World) -> None:
+        node = world.nodes[0].node
+        assert node is not None
+        before = node.state.writes.rate
+        for pause in (0.0, 20.0, 20.0, 20.0):
+            await asyncio.sleep(pause)
+            node.state.on_limited()
+        world.met["kept"] = node.state.writes.rate == before and not node._rates_fell
+        for _ in range(3):
+            node.state.on_limited()
+        world.met["fell"] = node._rates_fell and node.state.writes.rate < before
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(world_module, "LATER_WRITE_RPS", 25.0)
+        met = play(416, day).met
+    assert met["kept"] and met["fell"]
+
+
 # -- recorded values --------------------------------------------------------------------
 
 
