--- a/tests/test_awaits.py
+++ b/tests/test_awaits.py
@@ -309,6 +309,7 @@
     leader = next(n.node.leader for n in world.nodes if n.node and n.node.leader)
     record = leader.view.jobs[JobId("job-900003")]
     found["waits"] = leader.view.waits(record.id)
+    found["planned for"] = record.id in leader.progress
     host = next(iter(leader.ledger.hosts.values()), None)
     if host is not None:
         task = records.TaskId(record.id, 0)
@@ -329,6 +330,7 @@
     assert found["service"][0] == 422 and "service" in found["service"][1]["error"]
     assert found["itself"][0] == 400
     assert found["accepted"][0] == 201 and found["again"][0] == 200
+    assert not found["planned for"]  # so a plan's cost does not grow with those that wait
     assert found["waits"] and found["refusal"] == "job waits for others"
     assert found["long"][0] == 422 and "bytes" in found["long"][1]["error"]
     assert found["told"] == [(200, ["job-900001"])] * 3
