--- a/dunehold/cli.py
+++ b/dunehold/cli.py
@@ -224,11 +224,9 @@
     if address is None:
         print("dunehold: --peer: must be HOST:PORT", file=sys.stderr)
         return EXIT_USAGE
-    target = peers.WAITS_PATH + options.job
     try:
         client = HttpClient(*address)
-        code, data = asyncio.run(client.request("GET", target, None, options.timeout))
-        waits = codec.load_object(data).get("waits") if code == 200 else None
+        waits = asyncio.run(peers.get_waits(client, options.job, options.timeout))
     except (NoResponse, codec.BadMessage) as error:
         print(f"dunehold: {options.peer}: no answer ({error}); try again", file=sys.stderr)
         return EXIT_FAILED
@@ -236,5 +234,5 @@
         print(f"dunehold: {options.peer} does not know {options.job} yet", file=sys.stderr)
         return EXIT_FAILED
     if waits:
-        print("waits for " + ", ".join(map(str, waits)))
+        print("waits for " + ", ".join(waits))
     return 0
--- a/dunehold/protocol/peers.py
+++ b/dunehold/protocol/peers.py
@@ -28,6 +28,17 @@
     return codec.dump({"uid": job, "waits": sorted(waits)})
 
 
+async def get_waits(client: Client, job: JobId, timeout_s: float) -> list[JobId] | None:
+    """What the job waits for; None where that controller does not know the job."""
+    status, data = await client.request("GET", WAITS_PATH + job, None, timeout_s)
+    if status != 200:
+        return None
+    waits = codec.load_object(data).get("waits")
+    if not isinstance(waits, list):
+        raise BadMessage("waits must be a list")
+    return [JobId(str(name)) for name in waits]
+
+
 class Sight(NamedTuple):
     """What a node has seen lately, in seconds ago: a proof of a current view, any worker."""
 
--- a/tests/test_awaits.py
+++ b/tests/test_awaits.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 import orjson
@@ -17,6 +18,7 @@
 from dunehold.bookkeeping.needs import Needs
 from dunehold.bookkeeping.packs.rows import Accepted, Packer, decode_accepted
 from dunehold.bookkeeping.view import View
+from dunehold.coordination.picture.heirs import Heirs
 from dunehold.protocol import codec
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.state import Change, Entry
@@ -337,10 +339,6 @@
 
 
 def test_rank_and_deadline_come_from_the_last_job(monkeypatch: pytest.MonkeyPatch) -> None:
-    from types import SimpleNamespace
-
-    from dunehold.coordination.picture.heirs import Heirs
-
     book, told = Book(), []
     ledger: Any = SimpleNamespace(view=book.view)
     heirs = Heirs(ledger, lambda job: 10.0, told.append)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,7 +16,7 @@
 import tomllib
 import warnings
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import fields
+from dataclasses import fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -226,8 +226,6 @@
     settings = World.settings
 
     def first(self: World, index: int) -> Settings:
-        from dataclasses import replace
-
         size, ops = world_module.FIRST
         return replace(settings(self, index), value_bytes=size, txn_ops=ops)
 
