--- a/dunehold/bookkeeping/hosts.py
+++ b/dunehold/bookkeeping/hosts.py
@@ -95,6 +95,10 @@
     used: Room = NO_ROOM
     images: dict[Image, tuple[MonotonicTime, float]] = field(default_factory=dict)  # use, GB
     heard_at: MonotonicTime = NEVER_HEARD  # when its worker was heard of last
+    # Its answers to direct calls renew no lease: only what reports, in this session, lives on.
+    reports: bool = False
+    reported_at: MonotonicTime = NEVER_HEARD  # or when a session that doesn't was first heard
+    newest: tuple[Session, Sequence] = (Session(0), Sequence(0))  # of its reports, any token
     idle_since: MonotonicTime | None = None
     error_at: MonotonicTime | None = None  # a task failed: its job, or this machine
     quarantined_at: MonotonicTime | None = None
--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -157,7 +157,12 @@
             if host.fenced or not self._lease_over(host, now):
                 continue
             if host.runs:
-                log.info("host %s: lease over, %d attempts are gone", host.id, len(host.runs))
+                log.info(
+                    "host %s: lease over, %d attempts are gone%s",
+                    host.id,
+                    len(host.runs),
+                    "" if host.heard_at <= host.reported_at else ", direct calls reached it",
+                )
             host.fenced = True
             self._settled(host)
             host.known = False
@@ -219,7 +224,10 @@
             # counts from then. A direct answer can be the first that we hear of it: what
             # was fed before belongs to the session before.
             host.fed_at = now
+            host.reports, host.reported_at = False, now
         host.session, host.sequence = report.session, report.sequence
+        if not direct:
+            host.reports, host.reported_at = True, now
         # Seen late, an end says little of how long the task ran.
         timely = now - host.heard_at <= self.lease_s * TIMELY_SHARE
         host.heard_at = now
@@ -326,6 +334,10 @@
             return "an earlier leader may have started it"
         if not host.known or host.draining is not None or host.deleting:
             return "machine is not usable"
+        if not host.reports:
+            # Guards against a machine that direct calls reach and that reaches no controller:
+            # whatever is started there dies with its lease, again and again.
+            return "machine does not report"
         if self.closed(host) is not None:
             return "machine is out of service"
         if not host.recorded:
--- a/dunehold/coordination/durable/sync.py
+++ b/dunehold/coordination/durable/sync.py
@@ -41,6 +41,7 @@
         return since is not None and asyncio.get_running_loop().time() - since > FAILING_S
 
     async def load(self) -> None:
+        """List everything. Who finds it loaded by somebody else has no proof of its own."""
         async with self._load_lock:
             if self.view.loaded:
                 return
@@ -51,6 +52,9 @@
             changes, latest = await self.state.changes(
                 records.PREFIX, revision, 0.0, Priority.LEADER
             )
+            if latest < self.view.applied:
+                # An answer of the watch came meanwhile, and users may have been told by it.
+                raise NoResponse("the listing is older than what is here")
             self.view.load(entries, revision)
             self.view.apply(changes, latest)
             self.view.link()
@@ -98,9 +102,17 @@
                 await asyncio.sleep(self.barrier_gap_s - spent)
 
     async def _refresh(self, priority: int) -> None:
-        if not self.view.loaded:
+        """Bring the view to a moment after this was called.
+
+        A listing that somebody else began may be of a moment before: then one more question
+        is asked. Guards against a user who is told by that listing what another node said
+        otherwise of meanwhile (at a start, and where the log of changes was too short).
+        """
+        asked = asyncio.get_running_loop().time()
+        while not self.view.loaded:
             await self.load()
-            return
+            if self.proved_at >= asked:
+                return
         await self.state.requests.take(priority)
         sent = asyncio.get_running_loop().time()
         try:
@@ -109,7 +121,7 @@
             )
         except TooOld:
             self.view.loaded = False
-            await self.load()
+            await self._refresh(priority)
             return
         touched = self.view.apply(changes, revision)
         self.proved_at = max(self.proved_at, MonotonicTime(sent))
--- a/dunehold/coordination/picture/picture.py
+++ b/dunehold/coordination/picture/picture.py
@@ -63,13 +63,18 @@
     return 2.5 * settings.report_s + 1.0
 
 
+def _usable(host: Host) -> bool:
+    """Work may be started there now, as far as the machine is concerned."""
+    return host.known and host.reports and host.recorded
+
+
 @dataclass(slots=True)
 class _Pictured:
     """A machine as plans see it, good for its version of the books and until a moment."""
 
     host: Host
     version: int
-    usable: bool  # had answered, and was on record
+    usable: bool  # had reported, and was on record
     until: float
     state: HostState
 
@@ -197,14 +202,16 @@
         for host in self.ledger.hosts.values():
             if host.draining is not None or host.deleting or host.fenced:
                 continue
-            if host.known and now - host.heard_at > silent_s:
-                continue  # a start would hang with it, and hold up its task
+            if host.known and now - host.reported_at > silent_s:
+                # A start would hang with it and hold up its task, or, where only direct calls
+                # reach the machine, die with its lease.
+                continue
             pictured = self._states.get(host.id)
             if (
                 pictured is None
                 or pictured.host is not host
                 or pictured.version != host.version
-                or pictured.usable is not (host.known and host.recorded)
+                or pictured.usable is not _usable(host)
                 or now >= pictured.until
             ):
                 if host.type not in self.types:
@@ -379,7 +386,7 @@
         kind = self.types[host.type]
         until = math.inf
         ready = 0.0
-        if not host.known or not host.recorded:
+        if not _usable(host):
             ready = max(now + 1.0, host.created_at + kind.boot_s)
             # It may be up any moment, which is a change; if not, look again before that.
             until = max(now + 0.5, host.created_at + kind.boot_s - 0.5)
@@ -411,7 +418,7 @@
             ),
             closes_at=self.closes_at(host, now),
         )
-        return _Pictured(host, host.version, host.known and host.recorded, until, state)
+        return _Pictured(host, host.version, _usable(host), until, state)
 
     @staticmethod
     def _cached(host: Host, kind: MachineType) -> list[Image]:
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -246,6 +246,8 @@
                         self.picture.note_arrival(record.spec, self.now())
                 continue
             self.picture.heirs.over(job)
+            if record.phase is JobPhase.CANCELLED:
+                self._end_all_of(job)
             if self.progress.pop(job, None) is not None:
                 log.info("job %s is %s", job, record.phase.value)
                 self.ledger.done.pop(job, None)
@@ -255,6 +257,13 @@
             self.picture.guaranteed = None
             self.make_dirty()
 
+    def _end_all_of(self, job: JobId) -> None:
+        """At once, and not with the next report: a start still under way would begin a task
+        that its user was told will not start."""
+        for task in list(self.ledger.by_job.get(job, ())):
+            for run in list(self.ledger.present.get(task, ())):
+                self._stop_by_choice(run, Duration(0.0))
+
     def orders_changed(self) -> None:
         self.care.orders_changed()
         self.make_dirty()
@@ -286,12 +295,20 @@
         if report.token > self.token:
             self._seen_above(report.host, report.token)
             return None
-        self._heard_at, self.heard = now, True
-        if not self.may_feed() or report.host in self.ledger.gone:
+        if report.host in self.ledger.gone:
             return None
         host = self.ledger.hosts.get(report.host)
+        if host is not None and (report.session, report.sequence) <= host.newest:
+            # A worker has one report in flight: it gave this one up before it sent a newer.
+            # Guards against copies that keep a lease on the books which nobody renewed, and
+            # that pass for a worker who reaches this node.
+            return None
+        self._heard_at, self.heard = now, True
+        if not self.may_feed():
+            return None
         if host is None:
             host = self._unexpected(report)
+        host.newest = report.session, report.sequence
         if host.address != report.address:
             host.address = report.address
             self.delivery.drop(host.id)
--- a/dunehold/coordination/users/intake.py
+++ b/dunehold/coordination/users/intake.py
@@ -28,8 +28,10 @@
 
 LATEST_S = 2.0  # after the question: nobody waits any longer, and proofs have aged
 LONGEST_QUEUE_S = 0.5  # for the write budget; who would wait longer is told at once
+FRESH_S = 0.2  # an acceptance that took longer is told with what has become of the job since
 NOT_FOUND = Response(404, users.encode_error("no such job"))
 MAX_RETRY_S = 10
+CANCEL_QUEUE_S = 3  # of the 5 s that a user waits
 CANCEL_TRIES = 4
 
 
@@ -96,33 +98,36 @@
     # -- queries -------------------------------------------------------------------
 
     async def _get(self, job: JobId) -> Response:
+        """Whatever is awaited comes before the proof, and the record is read after it: guards
+        against an answer that is older than what this or another node has said meanwhile."""
         asked = asyncio.get_running_loop().time()
         record = self.view.jobs.get(job)
-        if record is None or not record.phase.final:
-            if self.sync.failing():
-                return OUTAGE
-            try:
-                await self.sync.barrier()
-            except TROUBLE:
-                return BUSY  # what can't be proved is never a 404
-            record = self.view.jobs.get(job)
-            if record is None:
-                return NOT_FOUND
-        body = await self._describe(record)
+        if record is not None and record.phase.final:
+            return self._describe(record, 0)
+        if self.sync.failing():
+            return OUTAGE
+        running = await self.running(job)  # for display, and a second old at most
+        try:
+            await self.sync.barrier()
+        except TROUBLE:
+            return BUSY  # what can't be proved is never a 404
+        record = self.view.jobs.get(job)
+        if record is None:
+            return NOT_FOUND
         if not record.phase.final and asyncio.get_running_loop().time() - asked > LATEST_S:
             # The process may have stood still between the proof and this line, while
             # another node told the user that the job is over.
             return BUSY
-        return Response(200, body)
+        return self._describe(record, running)
 
-    async def _describe(self, record: JobRecord) -> bytes:
+    @staticmethod
+    def _describe(record: JobRecord, running: int) -> Response:
+        done, phase = record.done_count(), "running" if running else "queued"
         if record.phase is JobPhase.CANCELLED:
-            return users.encode_state(record.id, "cancelled", record.done_count(), 0)
-        if record.phase is JobPhase.DONE:
-            return users.encode_state(record.id, "done", record.tasks, 0)
-        running = await self.running(record.id)
-        phase = "running" if running else "queued"
-        return users.encode_state(record.id, phase, record.done_count(), running)
+            running, phase = 0, "cancelled"
+        elif record.phase is JobPhase.DONE:
+            done, running, phase = record.tasks, 0, "done"
+        return Response(200, users.encode_state(record.id, phase, done, running))
 
     # -- submissions -----------------------------------------------------------------
 
@@ -130,7 +135,7 @@
         try:
             spec = users.decode_job(body)
         except BadMessage as error:
-            return Response(400, users.encode_error(str(error)))
+            return await self._refuse(users.named_job(body), 400, str(error))
         if spec.id in self.view.jobs:
             return await self._get(spec.id)
         types = self.types()
@@ -141,13 +146,11 @@
         try:
             check_possible(spec, self.settings, types)
         except Impossible as error:
-            # Another node may have accepted this id already: that answer must stand.
-            known = await self._known_by_proof(spec.id)
-            return known or Response(422, users.encode_error(str(error)))
+            return await self._refuse(spec.id, 422, str(error))
         at = WallTime(round(self.wall(), 3))
         if self.submissions.too_large(spec, at):
             most = self.settings.value_bytes
-            return Response(422, users.encode_error(f"takes more than {most} bytes"))
+            return await self._refuse(spec.id, 422, f"takes more than {most} bytes")
         if spec.awaits:
             refused = await self._check_awaits(spec)
             if refused is not None:
@@ -156,7 +159,7 @@
         if self.submissions.full() or queued_s > LONGEST_QUEUE_S:
             later = min(MAX_RETRY_S, math.ceil(queued_s))
             return Response(503, users.encode_error("too many at once"), retry_after=later)
-        created = await self.submissions.write(spec, at)
+        created, asked = await self.submissions.write(spec, at)
         if created is None:
             return BUSY
         if not created:
@@ -169,8 +172,25 @@
             spec.tasks,
             spec.need.cpus,
         )
+        record = self.view.jobs.get(spec.id)
+        if asyncio.get_running_loop().time() - asked > FRESH_S or (
+            record is not None and record.phase.final
+        ):
+            # Durable for a while before the answer came: another node may have found it, and
+            # its user may have heard of more than an acceptance.
+            return await self._get(spec.id)
         return Response(201, users.encode_state(spec.id, "queued"))
 
+    async def _refuse(self, job: JobId | None, status: int, reason: str) -> Response:
+        """Another node may have accepted this id: then that stands, whatever is sent now."""
+        if job is not None:
+            if job not in self.view.jobs and self.sync.failing():
+                return OUTAGE
+            known = await self._known_by_proof(job)
+            if known is not None:
+                return known
+        return Response(status, users.encode_error(reason))
+
     async def _check_awaits(self, spec: JobSpec) -> Response | None:
         """Why it can't be accepted with what it names, or None.
 
@@ -190,11 +210,13 @@
             other = self.view.jobs[job].spec
             if other is not None and other.kind is Kind.SERVICE:
                 # Never done: whoever waits for it would wait for ever.
-                return Response(422, users.encode_error(f"awaits: {job} is a service"))
+                return await self._refuse(spec.id, 422, f"awaits: {job} is a service")
         return None
 
     async def _known_by_proof(self, job: JobId) -> Response | None:
         """Its state where it is accepted; 503 where nobody can tell; None: it is not known."""
+        if job in self.view.jobs:
+            return await self._get(job)
         try:
             await self.sync.barrier()
         except TROUBLE:
@@ -220,11 +242,15 @@
                 if record.phase is not JobPhase.ACTIVE:
                     return Response(200, users.encode_state(job, record.phase.value))
                 assert record.spec is not None
+                later = math.ceil(self.state.writes.wait_s(1.0, Priority.CANCEL))
+                if later > CANCEL_QUEUE_S:
+                    reason = users.encode_error("too many at once")
+                    return Response(503, reason, retry_after=min(MAX_RETRY_S, later))
                 key = records.job_key(job)
                 value = records.encode_cancelled(record, self.settings.value_bytes)
                 # The job's version guards against calling a job cancelled that is done.
                 txn = Txn(guards={key: record.version}, puts={key: value})
-                result = await self.state.txn(txn, Priority.USER)
+                result = await self.state.txn(txn, Priority.CANCEL)
                 if result.ok:
                     log.info("job %s cancelled by its user", job)
                     if record.pack is None:
--- a/dunehold/coordination/users/submissions.py
+++ b/dunehold/coordination/users/submissions.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from itertools import islice
+from typing import NamedTuple
 
 from dunehold.bookkeeping import records
 from dunehold.bookkeeping.packs.rows import Accepted, Packer, own_bytes
@@ -33,12 +34,19 @@
 MOST_ROWS = 512  # to a transaction, so that building it never keeps the loop for long
 
 
+class Written(NamedTuple):
+    """What became of a submission, by a question that was sent at ``asked_at``."""
+
+    created: bool | None  # accepted just now; known before; None: nobody can tell yet
+    asked_at: float
+
+
 @dataclass(slots=True)
 class _Submission:
     spec: JobSpec
     at: WallTime
     bytes: int
-    future: asyncio.Future[bool | None]  # created, known already, or undecided
+    future: asyncio.Future[Written]
     alone: bool = False  # a transaction with it was malformed: others must not share that
 
 
@@ -100,11 +108,10 @@
             changes = min(changes, self._packed_changes())
         return self.state.writes.wait_s(max(0.0, changes - self._asked))
 
-    async def write(self, spec: JobSpec, at: WallTime) -> bool | None:
-        """True: accepted just now. False: known before. None: nobody can tell yet."""
+    async def write(self, spec: JobSpec, at: WallTime) -> Written:
         entry = self._pending.get(spec.id)
         if entry is None:
-            future: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
+            future: asyncio.Future[Written] = asyncio.get_running_loop().create_future()
             entry = _Submission(spec, at, own_bytes(spec, at), future)
             self._pending[spec.id] = entry
             self._bytes += entry.bytes
@@ -139,15 +146,17 @@
                 self._settle_all(batch, None)
 
     async def _commit(self, batch: _Batch) -> None:
+        asked = asyncio.get_running_loop().time()
         result = await self.state.txn(batch.txn, Priority.USER, paid=True)
         if not result.ok or batch.read_back:
+            asked = asyncio.get_running_loop().time()
             await self.sync.barrier()
         for entry in batch.entries:
             job = entry.spec.id
             if result.ok:
-                self._settle(entry, self._ours(batch, job))
+                self._settle(entry, self._ours(batch, job), asked)
             elif job in self.view.jobs:
-                self._settle(entry, False)
+                self._settle(entry, False, asked)
 
     def _ours(self, batch: _Batch, job: JobId) -> bool:
         if not batch.read_back:
@@ -269,8 +278,10 @@
         for entry in list(self._pending.values()) if batch is None else batch.entries:
             self._settle(entry, created)
 
-    def _settle(self, entry: _Submission, created: bool | None) -> None:
+    def _settle(
+        self, entry: _Submission, created: bool | None, asked_at: float = -math.inf
+    ) -> None:
         if self._pending.pop(entry.spec.id, None) is not None:
             self._bytes -= entry.bytes
         if not entry.future.done():
-            entry.future.set_result(created)
+            entry.future.set_result(Written(created, asked_at))
--- a/dunehold/emulator/agents/outside.py
+++ b/dunehold/emulator/agents/outside.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -16,7 +16,7 @@
 
 from dunehold.emulator.history import History
 from dunehold.emulator.model.base import Randomness, Reply
-from dunehold.emulator.model.cloud import Cloud, What
+from dunehold.emulator.model.cloud import Cloud, Event, What
 from dunehold.emulator.model.jobs import Jobs
 from dunehold.emulator.model.store import Store, Watch
 from dunehold.emulator.model.worker import (
@@ -111,7 +111,10 @@
     served: int = 0
     late_share: float = 0.0  # of transactions: no answer, carried out late
     late: LateWrites = field(default_factory=LateWrites)
+    mute_share: float = 0.0  # of transactions: carried out at once, and only the answer is lost
+    unheard: int = 0  # transactions whose answers were lost so, with changes
     delay_s: float = 0.0  # before each request is looked at
+    slow: dict[str, float] = field(default_factory=dict)  # the same, for one node's alone
     malformed: list[str] = field(default_factory=list)  # why transactions got 400
     rng: Randomness | None = None
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -119,8 +122,9 @@
 
     async def handle(self, method: str, target: str, body: bytes | None, source: str) -> Reply:
         self.served += 1
-        if self.delay_s:
-            await asyncio.sleep(self.delay_s)
+        delay_s = max(self.delay_s, self.slow.get(source.partition("#")[0], 0.0))
+        if delay_s:
+            await asyncio.sleep(delay_s)
         if target == "/txn" and self.rng is not None and self.rng.random() < self.late_share:
             task = asyncio.create_task(self._carry_out_late(body, source))
             self._under_way.add(task)
@@ -135,6 +139,9 @@
             self.late.carried_out(source, self.store.revision)
             if answer.status == 400 and b"no such lease" not in answer.body:
                 self.malformed.append(answer.body.decode())
+            if self.rng is not None and self.rng.random() < self.mute_share:
+                self.unheard += self.store.revision != before
+                raise ConnectionResetError
         return answer
 
     async def _carry_out_late(self, body: bytes | None, source: str) -> None:
@@ -194,7 +201,11 @@
     reports: int = 0
     deaf_until: float = -1.0  # its reports arrive; answers and direct commands are lost
     unheard: int = 0  # answers lost so
+    mute_until: float = -1.0  # it reaches no controller; direct commands reach it
+    unsaid: int = 0  # reports lost so
     late_share: float = 0.0  # of reports: a copy arrives again, at any node
+    keeps: bool = False  # the copies, until they are let go
+    kept: list[bytes] = field(default_factory=list)
     copies: int = 0
     _alarm: Alarm = field(default_factory=Alarm)
     _report: asyncio.Event = field(default_factory=asyncio.Event)
@@ -259,9 +270,10 @@
             body = orjson.dumps(self.worker.report())
             self._report.clear()
             if self.late_share and self.rng.random() < self.late_share:
-                copy = asyncio.create_task(self._send_again(body))
-                self._copying.add(copy)
-                copy.add_done_callback(self._copying.discard)
+                if self.keeps:
+                    self.kept.append(body)
+                else:
+                    self._spawn(self._send_again(body))
             status, row = await self._exchange(body)
             if status and self._deaf():
                 self.unheard += 1
@@ -287,16 +299,33 @@
     def _deaf(self) -> bool:
         return _time() < self.deaf_until
 
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._copying.add(task)
+        task.add_done_callback(self._copying.discard)
+
+    def let_go(self) -> None:
+        """The copies that were kept arrive, each at every controller at once."""
+        for body in self.kept:
+            for node in self.nodes:
+                self._spawn(self._copy_to(node, body))
+        self.kept.clear()
+
     async def _send_again(self, body: bytes) -> None:
         """From seconds to well over a lease later; nobody waits for its answer any more."""
         await asyncio.sleep(self.rng.uniform(LATE_S[0], 2.0 * self.worker.lease_s))
+        await self._copy_to(self.nodes[int(self.rng.random() * len(self.nodes))], body)
+
+    async def _copy_to(self, node: str, body: bytes) -> None:
         self.copies += 1
-        node = self.nodes[int(self.rng.random() * len(self.nodes))]
         with contextlib.suppress(NoResponse):
             name = self.worker.machine.name
             await self.carrier.request(name, node, "POST", REPORT_PATH, body, ANSWER_S)
 
     async def _exchange(self, body: bytes) -> tuple[int, dict[str, Any]]:
+        if _time() < self.mute_until:
+            self.unsaid += 1
+            return 0, {}
         try:
             status, data = await self.carrier.request(
                 self.worker.machine.name,
@@ -366,7 +395,13 @@
         """Bring what the model did to the workers' agents."""
         events, self.cloud.happened = self.cloud.happened, []
         for event in events:
-            self.history.add_at(event.at, "machine", host=event.host, what=event.what.value)
+            self.history.add_at(
+                event.at,
+                "machine",
+                host=event.host,
+                what=event.what.value,
+                **self._facts(event),
+            )
             if event.what is What.UP:
                 self._up(event.host)
             elif event.what is What.NOTICE:
@@ -377,6 +412,17 @@
             else:
                 self._gone(event.host)
 
+    def _facts(self, event: Event) -> dict[str, Any]:
+        host = self.cloud.hosts.get(event.host)
+        if event.what is not What.UP or host is None:
+            return {}
+        flavour, hall, loaner = host.kind
+        room = self.cloud.flavours[flavour]
+        return {
+            "flavour": flavour, "hall": hall, "loaner": loaner,
+            "room": [room.vcpus, room.gpus, room.memory_gb],
+        }  # fmt: skip
+
     def _up(self, name: str) -> None:
         host = self.cloud.hosts.get(name)
         if host is None:
--- a/dunehold/emulator/agents/users.py
+++ b/dunehold/emulator/agents/users.py
@@ -75,7 +75,7 @@
                 "POST", f"{JOBS}/{uid}/cancel", b"{}", CANCEL_PATIENCE_S
             )
             if answer.status == 200:
-                self._told(uid, answer.row, asked)
+                self.told(uid, answer.row, asked)
         await self.follow(uid)
 
     async def follow(self, uid: str) -> None:
@@ -87,10 +87,10 @@
 
     async def poll(self, uid: str) -> Answer:
         asked = self._now()
-        answer = await self._once("GET", f"{JOBS}/{uid}", None, POLL_ANSWER_S)
+        answer = await self.once("GET", f"{JOBS}/{uid}", None, POLL_ANSWER_S)
         self.asked(self._now() - asked, answer.status)
         if answer.status == 200:
-            self._told(uid, answer.row, asked)
+            self.told(uid, answer.row, asked)
         elif answer.status == 404:
             self.history.add("missing", uid=uid, asked=asked)
         else:
@@ -106,13 +106,13 @@
     async def again(self, job: dict[str, Any]) -> None:
         """A retry that comes late, even after the job is over."""
         asked = self._now()
-        answer = await self._once("POST", JOBS, orjson.dumps(public(job)), ANSWER_S)
+        answer = await self.once("POST", JOBS, orjson.dumps(public(job)), ANSWER_S)
         if answer.status in (400, 422):
             self.history.add("refused", uid=job["uid"], status=answer.status)
         elif answer.status in (200, 201):
-            self._told(job["uid"], answer.row, asked)
+            self.told(job["uid"], answer.row, asked)
 
-    def _told(self, uid: str, row: dict[str, Any], asked: float) -> None:
+    def told(self, uid: str, row: dict[str, Any], asked: float) -> None:
         phase = str(row.get("phase"))
         self.history.add("told", uid=uid, phase=phase, asked=asked)
         self.seen_running += phase == "running"
@@ -125,13 +125,13 @@
         """Retry as the protocol lets users do, until it is decided or patience is over."""
         ends = self._now() + patience_s
         while True:
-            answer = await self._once(method, path, body, ANSWER_S)
+            answer = await self.once(method, path, body, ANSWER_S)
             if answer.status in (200, 201, 400, 422) or self._now() >= ends:
                 return answer
             pause = max(RETRY_S, min(answer.retry_after_s, MOST_RETRY_S))
             await asyncio.sleep(pause * self.rng.uniform(1.0, 1.2))
 
-    async def _once(
+    async def once(
         self, method: str, path: str, body: bytes | None, timeout_s: float
     ) -> Answer:
         try:
--- a/dunehold/emulator/check.py
+++ b/dunehold/emulator/check.py
@@ -16,6 +16,13 @@
 FINAL = ("done", "cancelled")
 UNHEARD_S = 90.0
 CALM_UNHEARD_S = 75.0  # once all troubles are over, however others fare
+LEFT_WAITING_S = 90.0  # once all troubles are over, beside a machine that fits
+LOOK_S = 2.0  # between looks for who is left waiting
+# What a submission must not lack; a field that may be null may also be omitted.
+REQUIRED = (
+    "uid", "jobclass", "owner", "shape", "rank", "units", "vcpus", "gpus", "memory_gb",
+    "bundle", "size_gb", "together", "spread", "loaner", "expect_s", "snapshot_s", "flush_s",
+)  # fmt: skip
 LEAST_SERVED, LARGEST_SHARE, LARGEST_BEGIN_S = 0.5, 0.1, 240.0
 EPSILON = 1e-6
 
@@ -38,6 +45,15 @@
     hall: str
 
 
+class Machine(NamedTuple):
+    """A machine that is up."""
+
+    flavour: str
+    hall: str
+    loaner: bool
+    room: tuple[float, float, float]  # CPUs, GPUs, GB
+
+
 @dataclass(slots=True)
 class JobSeen:
     """What was seen of one job."""
@@ -53,20 +69,27 @@
     silent_since: float | None = None
     completed: set[int] = field(default_factory=set)
     began_at: float | None = None  # its first task
+    waits_since: float | None = None  # beside a machine that fits, all troubles being over
 
 
 @dataclass(slots=True)
 class Checker:
-    """``limits``: team -> most CPUs and GPUs, None for no limit."""
+    """``limits``: team -> most CPUs and GPUs, None for no limit. ``flavours``: name -> CPUs,
+    GPUs and GB of a machine, where it should be judged what can run at all."""
 
     limits: dict[str, tuple[float | None, float | None]]
     cancel_s: float
+    flavours: dict[str, tuple[float, float, float]] = field(default_factory=dict)
     breaches: list[Breach] = field(default_factory=list)
     jobs: dict[str, JobSeen] = field(default_factory=dict)
     on: dict[str, list[Place]] = field(default_factory=dict)  # item -> where it is
     starts: int = 0
     completions: int = 0
     calm_since: float | None = None  # all troubles are over
+    after_cancel: int = 0  # starts of jobs whose users knew them to be cancelled
+    machines: dict[str, Machine] = field(default_factory=dict)  # that are up
+    _used: dict[str, list[float]] = field(default_factory=dict)  # machine -> CPUs, GPUs, GB
+    _looked_at: float = -1e9
     _use: dict[str, list[float]] = field(default_factory=dict)  # team -> CPUs, GPUs
     _cancelled: deque[tuple[str, float]] = field(default_factory=deque)  # uid, told at
     _halls: dict[str, Counter[str]] = field(default_factory=dict)  # uid -> tasks in each
@@ -86,6 +109,67 @@
             uid, _ = self._cancelled.popleft()
             if self._halls.get(uid):
                 self._break("ran_cancelled", f"{uid} still has tasks on machines")
+        if self.calm_since is not None and now >= max(
+            self._looked_at + LOOK_S, self.calm_since
+        ):
+            self._looked_at = now
+            self._look_for_waiting(now)
+
+    def _look_for_waiting(self, now: float) -> None:
+        """Nobody is left waiting beside a machine that has had room for it all the time."""
+        for uid, job in self.jobs.items():
+            if not self._could_start(uid, job):
+                job.waits_since = None
+            elif job.waits_since is None:
+                job.waits_since = now
+            elif now - job.waits_since > LEFT_WAITING_S:
+                self._break("left_waiting", f"{uid} since {job.waits_since:.0f}")
+                job.waits_since = None
+
+    def _could_start(self, uid: str, job: JobSeen) -> bool:
+        row = job.row
+        if (
+            job.accepted_at is None
+            or job.final is not None
+            or job.cancel_asked
+            or row.get("broken")  # tried ever more seldom, by design of whoever made it
+            or uid in self._halls
+            or len(job.completed) >= row["units"]
+            or any(b.cancel_asked or b.final != "done" for b in self._before(job))
+        ):
+            return False
+        tasks = row["units"] if row["shape"] == "gang" else 1
+        need = _need(row)
+        use = self._use.get(row["owner"], [0.0, 0.0])
+        for used, limit, amount in zip(
+            use, self.limits.get(row["owner"], (None, None)), need, strict=False
+        ):
+            if limit and used + amount * tasks > limit + EPSILON:
+                return False
+        fits: Counter[str] = Counter()
+        for name, machine in self.machines.items():
+            if _allowed(row, machine):
+                fits[machine.hall] += self._fit(name, machine, need, tasks)
+        if row["shape"] == "gang":
+            most = (tasks + 1) // 2 if row.get("spread") else tasks
+            whole = (
+                max(fits.values(), default=0)
+                if row.get("together")
+                else sum(min(number, most) for number in fits.values())
+            )
+            return whole >= tasks
+        return sum(fits.values()) > 0
+
+    def _fit(
+        self, name: str, machine: Machine, need: tuple[float, float, float], most: int
+    ) -> int:
+        used = self._used.get(name, [0.0, 0.0, 0.0])
+        fit = [
+            int((room - taken + EPSILON) / amount)
+            for room, taken, amount in zip(machine.room, used, need, strict=True)
+            if amount > 0
+        ]
+        return max(0, min([most, *fit]))
 
     def finish(self, settled: bool) -> list[Breach]:
         """The end of a run; ``settled``: everything had the time to end."""
@@ -158,8 +242,36 @@
         job = self.jobs.get(data["uid"])
         if job is None:
             self._break("invented", data["uid"])
-        elif job.accepted_at is None:
+        else:
+            self._known(job)
+
+    def _known(self, job: JobSeen) -> None:
+        if job.accepted_at is None:
             job.accepted_at = self._now
+            reason = self._impossible(job.row) if self.flavours else None
+            if reason is not None:
+                self._break("impossible", f"{job.row.get('uid')} is accepted: {reason}")
+
+    def _impossible(self, row: dict[str, Any]) -> str | None:
+        """Why the submission had to be refused, or None."""
+        for name in REQUIRED:
+            if row.get(name) is None:
+                return f"{name} is missing"
+        if row["owner"] not in self.limits:
+            return "unknown team"
+        need = _need(row)
+        tasks = 1 if row["shape"] == "batch" else row["units"]
+        for limit, amount in zip(self.limits[row["owner"]], need, strict=False):
+            if limit and amount * tasks > limit + EPSILON:
+                return "more than the team's limit"
+        allowed = row.get("flavours") or self.flavours
+        if not any(
+            all(a <= b + EPSILON for a, b in zip(need, self.flavours[name], strict=True))
+            for name in allowed
+            if name in self.flavours
+        ):
+            return "a task fits no allowed machine type"
+        return None
 
     def _refused(self, data: dict[str, Any]) -> None:
         job = self.jobs.get(data["uid"])
@@ -185,8 +297,7 @@
         if job is None:
             self._break("invented", uid)
             return
-        if job.accepted_at is None:
-            job.accepted_at = self._now
+        self._known(job)
         if phase in FINAL:
             job.finals.add(phase)
         contradicts = phase in FINAL or data.get("asked", self._now) >= job.final_at
@@ -271,16 +382,31 @@
                 self._break("too_early", f"{item} starts before {need} is done")
         halls = self._halls.setdefault(uid, Counter())
         halls[place.hall] += 1
-        self._take(job.row, 1)
+        self._take(job.row, 1, place.host)
         self._check_quota(job.row["owner"])
         self._check_place(item, job.row, place, data["loaner"], halls)
-        if job.final == "cancelled" and self._now > job.final_at + self.cancel_s:
-            self._break("ran_cancelled", f"{item} starts")
-
-    def _take(self, row: dict[str, Any], sign: int) -> None:
-        use = self._use.setdefault(row["owner"], [0.0, 0.0])
-        use[0] += sign * row["vcpus"]
-        use[1] += sign * (row.get("gpus") or 0.0)
+        if job.final == "cancelled":
+            self.after_cancel += 1
+            if self._now > job.final_at + self.cancel_s:
+                self._break("ran_cancelled", f"{item} starts")
+
+    def _take(self, row: dict[str, Any], sign: int, host: str) -> None:
+        need = _need(row)
+        for sums in (
+            self._use.setdefault(row["owner"], [0.0, 0.0]),
+            self._used.setdefault(host, [0.0, 0.0, 0.0]),
+        ):
+            for index, amount in enumerate(need[: len(sums)]):
+                sums[index] += sign * amount
+
+    def _machine(self, data: dict[str, Any]) -> None:
+        if data["what"] == "up" and "room" in data:
+            cpus, gpus, memory = data["room"]
+            self.machines[data["host"]] = Machine(
+                data["flavour"], data["hall"], data["loaner"], (cpus, gpus, memory)
+            )
+        elif data["what"] == "gone":
+            self.machines.pop(data["host"], None)
 
     def _check_quota(self, team: str) -> None:
         for use, limit in zip(
@@ -311,7 +437,7 @@
                 uid = data["item"].rpartition("/")[0]
                 job = self.jobs.get(uid)
                 if job is not None:
-                    self._take(job.row, -1)
+                    self._take(job.row, -1, place.host)
                     self._leave(uid, place.hall)
                 break
         if not places:
@@ -332,6 +458,18 @@
             self.jobs[uid].completed.add(int(number))
 
 
+def _need(row: dict[str, Any]) -> tuple[float, float, float]:
+    return row["vcpus"], row.get("gpus") or 0.0, row.get("memory_gb") or 0.0
+
+
+def _allowed(row: dict[str, Any], machine: Machine) -> bool:
+    return (
+        (not row.get("flavours") or machine.flavour in row["flavours"])
+        and (not row.get("hall") or machine.hall == row["hall"])
+        and (bool(row.get("loaner")) or not machine.loaner)
+    )
+
+
 def _size(job: JobSeen) -> float:
     return float(job.row["units"] * job.row["vcpus"])
 
@@ -348,6 +486,7 @@
     "on": Checker._on,
     "off": Checker._off,
     "completed": Checker._completed,
+    "machine": Checker._machine,
 }
 
 
--- a/dunehold/emulator/history.py
+++ b/dunehold/emulator/history.py
@@ -26,7 +26,7 @@
     | ``cancel`` | uid: its user asks to cancel it |
     | ``on``, ``off`` | item, attempt, host; on: flavour, hall, loaner; off: why |
     | ``completed`` | item, attempt, host |
-    | ``machine`` | host, what, flavour, hall, loaner |
+    | ``machine`` | host, what; up: flavour, hall, loaner, room (CPUs, GPUs, GB) |
     | ``fault`` | what, and what it was done to |
     """
 
--- a/dunehold/emulator/scenario.py
+++ b/dunehold/emulator/scenario.py
@@ -145,6 +145,10 @@
         """Most CPUs and GPUs of each team; None for no limit."""
         return {t.name: (t.cpus_max or None, t.gpus_max or None) for t in self.teams}
 
+    def machine_rooms(self) -> dict[str, tuple[float, float, float]]:
+        """CPUs, GPUs and GB of each type of machine."""
+        return {f.label: (f.vcpus, f.gpus, f.memory_gb) for f in self.flavours}
+
 
 def load(path: Path) -> Scenario:
     try:
--- a/dunehold/protocol/state.py
+++ b/dunehold/protocol/state.py
@@ -85,13 +85,18 @@
 
 
 class Priority:
-    """Who goes first when the budget is short: the leader's lease, then proofs."""
+    """Who goes first when the budget is short: the leader's lease, then proofs.
+
+    A cancellation goes before submissions: a flood of those must not keep tasks running that
+    nobody wants, and what it frees is room for them.
+    """
 
     LEASE = 0
     PROOF = 1
-    LEADER = 2
-    USER = 3
-    BULK = 4
+    CANCEL = 2
+    LEADER = 3
+    USER = 4
+    BULK = 5
 
 
 @dataclass(slots=True)
--- a/dunehold/protocol/users.py
+++ b/dunehold/protocol/users.py
@@ -66,12 +66,33 @@
     return _JOB_ID.match(value) is not None
 
 
+# What a submission must not lack; a field that may be null may also be omitted.
+REQUIRED = (
+    "uid", "jobclass", "owner", "shape", "rank", "units", "vcpus", "gpus", "memory_gb",
+    "bundle", "size_gb", "together", "spread", "loaner", "expect_s", "snapshot_s", "flush_s",
+)  # fmt: skip
+
+
 def decode_job(body: bytes) -> JobSpec:
-    """The submitted job; BadMessage when anything in it is malformed."""
-    return decode_job_object(codec.load_object(body))
+    """The submitted job; BadMessage when anything in it is malformed or missing."""
+    row = codec.load_object(body)
+    for name in REQUIRED:
+        if row.get(name) is None:
+            raise BadMessage(f"{name} is missing")
+    return decode_job_object(row)
+
+
+def named_job(body: bytes) -> JobId | None:
+    """The job that a submission names, however malformed the rest of it is."""
+    try:
+        uid = codec.load_object(body).get("uid")
+    except BadMessage:
+        return None
+    return JobId(uid) if isinstance(uid, str) and valid_job_id(uid) else None
 
 
 def decode_job_object(row: dict[str, Any]) -> JobSpec:
+    """A job as it is sent, or as it was kept: records of earlier versions may lack a field."""
     uid = codec.text(row, "uid")
     if not valid_job_id(uid):
         raise BadMessage("uid must look like job-000412")
--- a/dunehold/transport/budget.py
+++ b/dunehold/transport/budget.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import heapq
+import math
 from dataclasses import dataclass, field
 
 from dunehold.types import MonotonicTime
@@ -47,10 +48,10 @@
         self._level = min(self._level, burst)
         self._serve()
 
-    def wait_s(self, amount: float = 1.0) -> float:
-        """How long who comes last now would wait, if nobody of higher priority came."""
+    def wait_s(self, amount: float = 1.0, priority: float = math.inf) -> float:
+        """How long who comes last of this priority would wait, if nobody of higher came."""
         self._fill()
-        ahead = sum(entry[2] for entry in self._queue if not entry[3].done())
+        ahead = sum(e[2] for e in self._queue if e[0] <= priority and not e[3].done())
         return max(0.0, (ahead + min(amount, self.burst) - self._level) / self.rate)
 
     def _fill(self) -> None:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
@@ -17,13 +18,18 @@
 from dunehold.bookkeeping.ledger import Ledger
 from dunehold.coordination.node import Node
 from dunehold.coordination.picture.picture import Picture
+from dunehold.coordination.term.leader import Leader
+from dunehold.coordination.users import intake
+from dunehold.emulator.agents.looks import OddRequests
 from dunehold.emulator.aims import Aims
 from dunehold.emulator.check import UNHEARD_S, Checker, JobSeen, check
 from dunehold.emulator.history import Event, History, read
+from dunehold.emulator.model.worker import Worker
 from dunehold.emulator.scenario import ObjectiveTable
 from dunehold.protocol import users
 from dunehold.transport.http import Request, Response
 from dunehold.types import JobId
+from tests.test_meetings import cancel_through
 from tests.test_rules import play, quiet
 from tests.world import RuleBroken, World
 
@@ -347,3 +353,126 @@
     job("job-30", 1, None, False)
     checker.jobs["job-30"].cancel_asked = True
     assert not [line for line in checker.unserved() if " d:" in line or "red" in line]
+
+
+# -- what the later letters count as failed -------------------------------------------------
+
+ROOMY = {"f": (4.0, 0.0, 16.0)}
+WHOLE = JOB | {
+    "jobclass": "c", "rank": "normal", "memory_gb": 1.0, "bundle": "i", "size_gb": 1.0,
+    "expect_s": 5.0, "snapshot_s": 0.0, "flush_s": 0.0,
+}  # fmt: skip
+
+
+def beside_a_machine(calm: float | None, limit: float = 4.0, **job: Any) -> Checker:
+    """A job waits from 1 s to 120 s, beside a machine with room for one of its tasks."""
+    box = Checker({"t": (limit, None)}, 30.0, ROOMY, calm_since=calm)
+    up = {"host": "m-1", "what": "up", "flavour": "f", "hall": "a", "loaner": False}
+    box.feed(Event(0.0, "machine", {**up, "room": [4.0, 0.0, 16.0]}))
+    box.feed(Event(0.5, "job", {"uid": "job-1", "job": {**WHOLE, **job}}))
+    box.feed(Event(1.0, "accepted", {"uid": "job-1", "status": 201}))
+    # Another job of the team has half of the machine.
+    box.feed(Event(1.0, "job", {"uid": "job-2", "job": WHOLE | {"uid": "job-2", "units": 1}}))
+    data = {"item": "job-2/0", "attempt": 1, "host": "m-1", "flavour": "f", "hall": "a"}
+    box.feed(Event(1.1, "on", {**data, "loaner": False}))
+    for second in range(2, 120):
+        box.step(float(second))
+    return box
+
+
+def test_who_is_left_waiting_beside_room_is_found_once_all_is_calm() -> None:
+    assert rules(beside_a_machine(2.0)) == ["left_waiting"]
+    assert not rules(beside_a_machine(None)) and not rules(beside_a_machine(60.0))
+    assert not rules(beside_a_machine(2.0, limit=2.0))  # its team is at its limit
+    assert not rules(beside_a_machine(2.0, hall="b"))
+    assert not rules(beside_a_machine(2.0, vcpus=3.0))
+    assert not rules(beside_a_machine(2.0, shape="gang", vcpus=1.5))  # not room for all of it
+    assert rules(beside_a_machine(2.0, shape="gang", vcpus=1.0)) == ["left_waiting"]
+    assert not rules(beside_a_machine(2.0, broken=True))
+    box = beside_a_machine(90.0)
+    on(box, 121.0, 0, "m-1")
+    for second in range(122, 240):
+        box.step(float(second))
+    assert not rules(box)
+
+
+def test_who_places_nothing_once_all_is_calm_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    schedule = Leader._schedule
+
+    def lazily(self: Leader, due: bool) -> None:
+        if self.now() < 62.0:
+            schedule(self, due)
+
+    monkeypatch.setattr(Leader, "_schedule", lazily)
+    with pytest.raises(RuleBroken, match="left_waiting"):
+        play(16, quiet)
+
+
+def accepted(**job: Any) -> list[str]:
+    box = Checker({"t": (4.0, None)}, 30.0, ROOMY)
+    row = {name: value for name, value in {**WHOLE, **job}.items() if value != "left out"}
+    box.feed(Event(0.0, "job", {"uid": "job-1", "job": row}))
+    box.feed(Event(0.1, "accepted", {"uid": "job-1", "status": 201}))
+    return rules(box)
+
+
+def test_the_acceptance_of_what_can_t_be_is_found() -> None:
+    assert not accepted() and not accepted(due_s="left out", hall="left out")
+    for wrong in (
+        {"vcpus": 5.0}, {"memory_gb": 17.0}, {"owner": "nobody"}, {"flavours": ["g"]},
+        {"gpus": "left out"}, {"snapshot_s": "left out"}, {"loaner": None},
+        {"shape": "standing", "units": 3},
+    ):  # fmt: skip
+        assert accepted(**wrong) == ["impossible"], wrong
+
+
+@pytest.mark.parametrize("fault", ["a field", "a machine"])
+def test_controllers_that_accept_what_can_t_be_are_found(
+    fault: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if fault == "a field":
+        monkeypatch.setattr(users, "REQUIRED", ())
+    else:
+        monkeypatch.setattr(intake, "check_possible", lambda *given: None)
+
+    async def odd(world: World) -> None:
+        asking = OddRequests(world.users, world.rng, world.jobs.rows.__getitem__)
+        for _ in range(200):
+            await asyncio.sleep(0.4)
+            await asking.once()
+
+    with pytest.raises(RuleBroken, match="impossible"):
+        play(17, odd)
+
+
+def test_starts_after_a_confirmed_cancellation_are_counted() -> None:
+    box = checker()
+    box.feed(Event(1.0, "cancel", {"uid": "job-1"}))
+    told(box, 1.2, "cancelled")
+    on(box, 2.0, 0, "m-1")
+    assert box.after_cancel == 1 and not rules(box)
+
+
+def test_a_cancelled_task_that_goes_on_after_its_machine_hung_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Hung from before the cancellation until after cancel_s, with no lease to end it."""
+    lose = Worker._lose_lease
+
+    def goes_on(self: Worker) -> None:
+        if self.hung_until > self._now - 60.0:
+            self._lease_from = self._now
+        else:
+            lose(self)
+
+    async def hangs(world: World) -> None:
+        await asyncio.sleep(25.0)
+        for agent in world.cloud.workers.values():
+            with agent.touched() as model:
+                model.hang(world.now(), 40.0)
+        await cancel_through(world, world.nodes, 8)
+
+    monkeypatch.setattr(Worker, "_lose_lease", goes_on)
+    with pytest.raises(RuleBroken, match="ran_cancelled"):
+        for seed in range(18, 22):
+            play(seed, hangs)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -84,6 +84,10 @@
     host.fed_at = MonotonicTime(1.0)
     back = MonotonicTime(15.3)  # before the ledger would have counted the lease as over
     assert ledger.ingest(report(2, 5), back, direct=True).accepted
+    # Direct answers alone would renew no lease: nothing starts before a report has come.
+    refused = ledger.plan_start(record, TASK, host, Tier.FOREGROUND, back)
+    assert refused == "machine does not report"
+    assert ledger.ingest(report(2, 6), back).accepted
     run = begin(ledger, host, record, back)
     ledger.commands(host, direct=True, starts=True)
     assert ledger.expire(MonotonicTime(15.6)) == []
