--- a/tests/test_further_meetings.py
+++ b/tests/test_further_meetings.py
@@ -15,22 +15,39 @@
 import orjson
 import pytest
 
+from dunehold.bookkeeping import records
 from dunehold.bookkeeping.hosts import Host, Outcome, Run
 from dunehold.bookkeeping.ledger import Ledger
 from dunehold.bookkeeping.unseen import Unseen
+from dunehold.bookkeeping.view import View
 from dunehold.coordination.durable.sync import Sync
+from dunehold.coordination.election.feeding import Feeding
+from dunehold.coordination.node import Node
 from dunehold.coordination.term.delivery import Delivery
 from dunehold.coordination.term.leader import Leader
+from dunehold.coordination.users.intake import Intake
 from dunehold.emulator.agents.looks import CloseLooks, OddRequests
 from dunehold.emulator.agents.users import Users
 from dunehold.emulator.history import Event
 from dunehold.emulator.model.cloud import Boots
-from dunehold.protocol.state import Priority, StateClient, Txn, TxnResult
+from dunehold.protocol import users as user_messages
+from dunehold.protocol.state import Change, Priority, StateClient, Txn, TxnResult
 from dunehold.protocol.workers import Report
 from dunehold.settings import Settings
-from dunehold.types import JobId, JobPhase, MonotonicTime, Sequence, Session
+from dunehold.transport.http import Request, Response
+from dunehold.types import (
+    Duration,
+    JobId,
+    JobPhase,
+    MonotonicTime,
+    Revision,
+    Sequence,
+    Session,
+    WallTime,
+)
 from tests import world as world_module
-from tests.test_meetings import cancel_through, leader_of
+from tests.test_awaits import JOB
+from tests.test_meetings import LongTasks, cancel_through, leader_of
 from tests.test_rules import BUSY_S, play
 from tests.world import Answer, RuleBroken, World
 
@@ -240,12 +257,9 @@
 
 def test_a_refusal_without_a_proof_forgets_a_job(monkeypatch: pytest.MonkeyPatch) -> None:
     """A node that has not heard of a job yet took its repetition for a new submission."""
-    from dunehold.coordination.users.intake import Intake
-    from dunehold.protocol import users
-    from dunehold.transport.http import Response
 
     async def at_once(self: Intake, job: JobId | None, status: int, reason: str) -> Response:
-        return Response(status, users.encode_error(reason))
+        return Response(status, user_messages.encode_error(reason))
 
     monkeypatch.setattr(Intake, "_refuse", at_once)
 
@@ -773,8 +787,6 @@
     async def changes(
         self, prefix: str, after: int, hold_s: float, priority: int, paid: bool = False
     ) -> tuple[list[Any], int]:
-        from dunehold.protocol.state import Change
-        from dunehold.types import Revision
 
         if hold_s:
             await asyncio.sleep(1000.0)
@@ -791,8 +803,6 @@
 def test_a_barrier_needs_a_proof_that_was_sent_after_its_question() -> None:
     """A node that starts: the watch lists, and while the answer of its last question is on its
     way a job is accepted elsewhere. Who asked here after that was told 404."""
-    from dunehold.bookkeeping.view import View
-    from dunehold.types import Duration
 
     async def start() -> bool:
         state: Any = Listed()
@@ -811,16 +821,8 @@
 def test_nothing_is_awaited_between_the_proof_and_the_answer() -> None:
     """The counts of running tasks were asked for in between, and took up to a second; what
     another node had told the user by then was taken back."""
-    from dunehold.bookkeeping import records
-    from dunehold.bookkeeping.view import View
-    from dunehold.coordination.users.intake import Intake
-    from dunehold.protocol.state import Change
-    from dunehold.protocol.users import decode_job_object
-    from dunehold.transport.http import Request
-    from dunehold.types import Revision, WallTime
-    from tests.test_awaits import JOB
 
-    spec = decode_job_object(JOB)
+    spec = user_messages.decode_job_object(JOB)
 
     async def ask() -> bytes:
         view, sync = View(loaded=True), Any
@@ -863,11 +865,92 @@
     assert b"cancelled" in asyncio.run(ask())
 
 
+# -- the state service answers slowly, then refuses the leader, then everybody ---------------
+
+
+async def slow_then_gone(world: World) -> None:
+    """Users cancel and ask all the while; it is out for longer than ``cancel_s``."""
+    closely(world, 0.1)
+    await asyncio.sleep(20.0)
+    world.state.delay_s = 0.4
+    before = world.met["looks after accepted"]
+    await asyncio.sleep(10.0)
+    world.met["looks meanwhile"] = world.met["looks after accepted"] - before
+    nodes = [n for n in world.nodes if n.node is not None]
+    box = leader_of(world)
+    if box is not None:
+        world.spawn(world.state.refuse(box.name, 14.0))
+        nodes = [n for n in nodes if n is not box]
+    world.state.delay_s = 0.15  # within the lease of the leader: no other leads yet
+    world.met["cancelled"] += await cancel_through(world, nodes, 6)
+    world.state.delay_s = 0.0
+    await asyncio.sleep(world.rng.uniform(0.1, 0.4))
+    await world.state.outage(world_module.CANCEL_S + world.rng.uniform(2.0, 14.0))
+
+
+@pytest.mark.parametrize("seed", range(550, 553))
+def test_a_slow_state_service_that_goes_away_keeps_nothing_cancelled(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("tests.test_rules.World", LongTasks)
+    met = play(seed, slow_then_gone, nodes=(3, 5)[seed % 2]).met
+    assert met["cancelled"] > 1 and met["looks meanwhile"] > 3, met
+
+
+def test_who_feeds_on_through_a_slow_state_service_breaks_a_rule(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("tests.test_rules.World", LongTasks)
+    monkeypatch.setattr(Feeding, "allowed", lambda self, relaying=False: True)
+    monkeypatch.setattr(Node, "_passed_by", lambda self: None)
+    assert any("ran_cancelled" in b for b in broken_days(range(550, 554), slow_then_gone))
+
+
+# -- a leader ends while machines with long tasks can't be reached ---------------------------
+
+
+async def long_tasks_unreached(world: World) -> None:
+    """Half of the machines are cut from every controller, and within a second the leader ends:
+    the next one can't ask them, and what runs there goes on for most of a lease."""
+    for _ in range(3):
+        await asyncio.sleep(world.rng.uniform(14.0, 20.0))
+        names = [n for n, a in world.cloud.workers.items() if a.worker.tasks]
+        for name in world.rng.sample(names, (len(names) + 1) // 2):
+            tasks = world.cloud.workers[name].worker.tasks.values()
+            world.met["long tasks"] += sum(t.on_machine for t in tasks)
+            seconds = world.rng.uniform(4.0, 25.0)
+            for node in world.nodes:
+                for life in range(6):
+                    source = node.name if not life else f"{node.name}#{life}"
+                    world.spawn(world.network.for_a_while(name, source, "hold", seconds))
+        await asyncio.sleep(world.rng.uniform(0.0, 1.0))
+        token = await change_leader(world, world.rng.choice([0.3, 4.0]))
+        world.met["changes"] += await new_leader(world, token)
+
+
+@pytest.mark.parametrize("seed", range(560, 563))
+def test_a_leader_ends_while_machines_with_long_tasks_are_unreached(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("tests.test_rules.World", LongTasks)
+    world = play(seed, long_tasks_unreached, nodes=(3, 5)[seed % 2])
+    assert world.met["long tasks"] > 3 and world.met["changes"] > 1, world.met
+
+
+def test_long_tasks_that_the_log_alone_knows_of_run_twice_without_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("tests.test_rules.World", LongTasks)
+    monkeypatch.setattr(Unseen, "may_run", lambda self, task: False)
+    assert any("ran_twice" in b for b in broken_days(range(560, 564), long_tasks_unreached))
+
+
 # -- drawn at random ------------------------------------------------------------------------
 
 FURTHER: list[Faults] = [
     close_looks, lost_answers, at_the_end, odd_requests, hands_over, quick_machines,
-    reports_for_the_next, mute_machines, ten_changes, all_away,
+    reports_for_the_next, mute_machines, ten_changes, all_away, slow_then_gone,
+    long_tasks_unreached,
 ]  # fmt: skip
 
 
