--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -78,6 +78,7 @@
     _relay_changes: dict[Zone, int] = field(default_factory=dict)
     _zones: dict[JobId, dict[Zone, int]] = field(default_factory=dict)
     released: list[TaskId] = field(default_factory=list)  # no more among them, to be placed
+    lost_mute: int = 0  # attempts lost with leases of machines that only direct calls reached
     _attempts: int = 0
     _gang_attempts: dict[JobId, Attempt] = field(default_factory=dict)
 
@@ -157,12 +158,9 @@
             if host.fenced or not self._lease_over(host, now):
                 continue
             if host.runs:
-                log.info(
-                    "host %s: lease over, %d attempts are gone%s",
-                    host.id,
-                    len(host.runs),
-                    "" if host.heard_at <= host.reported_at else ", direct calls reached it",
-                )
+                log.info("host %s: lease over, %d attempts are gone", host.id, len(host.runs))
+                if host.heard_at > host.reported_at:  # direct calls reached it meanwhile
+                    self.lost_mute += sum(run.occupies for run in host.runs.values())
             host.fenced = True
             self._settled(host)
             host.known = False
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -265,6 +265,8 @@
             if self.leader is not None:
                 log.info("served: %s", self.served.line())
                 log.info("late starts in this term: %s", self.leader.lateness.line())
+                if lost := self.leader.ledger.lost_mute:
+                    log.info("lost on machines that only direct calls reach: %d tasks", lost)
 
     async def _fetch_types(self) -> None:
         while self.types is None:
--- a/tests/test_further_meetings.py
+++ b/tests/test_further_meetings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -47,7 +48,7 @@
 )
 from tests import world as world_module
 from tests.test_awaits import JOB
-from tests.test_meetings import LongTasks, cancel_through, leader_of
+from tests.test_meetings import MEETINGS, LongTasks, cancel_through, leader_of
 from tests.test_rules import BUSY_S, play
 from tests.world import Answer, RuleBroken, World
 
@@ -965,3 +966,15 @@
 @pytest.mark.parametrize("seed", range(540, 546))
 def test_rules_hold_when_further_meetings_meet(seed: int) -> None:
     assert play(seed, drawn(3), nodes=(3, 5, 7)[seed % 3]).checker.starts > 5
+
+
+if __name__ == "__main__":
+    # A soak of both files, outside CI: python -m tests.test_further_meetings FIRST NUMBER
+    first, number = (int(word) for word in sys.argv[1:3])
+    FURTHER += MEETINGS
+    for day in range(first, first + number):
+        try:
+            starts = play(day, drawn(4), nodes=(3, 5, 7)[day % 3]).checker.starts
+            print(day, "no rule broken", starts, flush=True)
+        except RuleBroken as broken:
+            print(day, broken, flush=True)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -281,3 +281,14 @@
     for _ in range(2):
         lateness.began(run, progress, 5.0, 8.0)
     assert lateness.starts == {"train": 1} and lateness.line() == "train 1 of 1: image 1"
+
+
+def test_what_is_lost_on_a_machine_that_only_direct_calls_reach_is_counted() -> None:
+    ledger, host, record = make_ledger()
+    ledger.ingest(report(1, 1), MonotonicTime(1.0))
+    host.fed_at = MonotonicTime(1.0)
+    run = begin(ledger, host, record, MonotonicTime(1.0))
+    ledger.commands(host, direct=True, starts=True)
+    task = TaskReport(run.id, TaskPhase.RUNNING, None, False)
+    ledger.ingest(report(1, 2, task), MonotonicTime(9.0), direct=True)
+    assert ledger.expire(MonotonicTime(17.0)) == [run] and ledger.lost_mute == 1
