--- a/tests/test_further_meetings.py
+++ b/tests/test_further_meetings.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -24,7 +23,6 @@
 from dunehold.coordination.durable.sync import Sync
 from dunehold.coordination.election.feeding import Feeding
 from dunehold.coordination.node import Node
-from dunehold.coordination.term.delivery import Delivery
 from dunehold.coordination.term.leader import Leader
 from dunehold.coordination.users.intake import Intake
 from dunehold.emulator.agents.looks import CloseLooks, OddRequests
@@ -48,24 +46,22 @@
 )
 from tests import world as world_module
 from tests.test_awaits import JOB
-from tests.test_meetings import MEETINGS, LongTasks, cancel_through, leader_of
+from tests.test_meetings import (
+    MEETINGS,
+    LongTasks,
+    broken_days,
+    cancel_through,
+    drawn,
+    give_up_with_the_call,
+    leader_of,
+    soak,
+)
 from tests.test_rules import BUSY_S, play
-from tests.world import Answer, RuleBroken, World
+from tests.world import Answer, World
 
 Faults = Callable[[World], Awaitable[None]]
 
 
-def broken_days(seeds: range, faults: Faults, nodes: int = 3) -> list[str]:
-    """What breaks on those days, with some safeguard taken out."""
-    found = []
-    for seed in seeds:
-        try:
-            play(seed, faults, nodes=nodes)
-        except RuleBroken as broken:
-            found.append(str(broken))
-    return found
-
-
 async def new_leader(world: World, token: int, patience_s: float = 20.0) -> bool:
     """Wait until somebody leads with a later token than that."""
     for _ in range(int(patience_s / 0.05)):
@@ -690,20 +686,9 @@
 def test_over_slow_links_a_start_given_up_with_its_call_breaks_a_rule(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    call = Delivery._call
-
-    async def given_up(self: Delivery, host: Host) -> bool:
-        done = await call(self, host)
-        if not done:
-            for run in list(host.runs.values()):
-                if run.unanswered and not run.seen:
-                    run.unanswered, run.in_reply = 0, False
-                    self.ledger.withdraw(run)
-        return done
-
+    give_up_with_the_call(monkeypatch)
     monkeypatch.setattr("dunehold.coordination.term.delivery.TIMEOUT_S", 1.0)
     monkeypatch.setattr("tests.test_rules.World", Crowded)
-    monkeypatch.setattr(Delivery, "_call", given_up)
     broken = broken_days(range(520, 524), crowded)
     assert any("ran_twice" in b or "quota" in b for b in broken)
 
@@ -955,26 +940,10 @@
 ]  # fmt: skip
 
 
-def drawn(most: int) -> Faults:
-    async def some(world: World) -> None:
-        for faults in world.rng.sample(FURTHER, world.rng.randint(2, most)):
-            world.spawn(faults(world))
-
-    return some
-
-
 @pytest.mark.parametrize("seed", range(540, 546))
 def test_rules_hold_when_further_meetings_meet(seed: int) -> None:
-    assert play(seed, drawn(3), nodes=(3, 5, 7)[seed % 3]).checker.starts > 5
+    assert play(seed, drawn(3, FURTHER), nodes=(3, 5, 7)[seed % 3]).checker.starts > 5
 
 
 if __name__ == "__main__":
-    # A soak of both files, outside CI: python -m tests.test_further_meetings FIRST NUMBER
-    first, number = (int(word) for word in sys.argv[1:3])
-    FURTHER += MEETINGS
-    for day in range(first, first + number):
-        try:
-            starts = play(day, drawn(4), nodes=(3, 5, 7)[day % 3]).checker.starts
-            print(day, "no rule broken", starts, flush=True)
-        except RuleBroken as broken:
-            print(day, broken, flush=True)
+    soak(FURTHER + MEETINGS)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -98,7 +98,7 @@
     assert world.met["unheard"] > 3 and world.checker.starts > 20
 
 
-def _broken_days(seeds: range, faults: Faults, nodes: int = 3) -> list[str]:
+def broken_days(seeds: range, faults: Faults, nodes: int = 3) -> list[str]:
     """What breaks on those days, with some safeguard taken out."""
     found = []
     for seed in seeds:
@@ -120,7 +120,7 @@
     monkeypatch.setattr(Ledger, "_lease_over", at_once)
     assert any(
         "ran_twice" in b or "quota" in b
-        for b in _broken_days(range(210, 216), leader_ends_before_the_deaf)
+        for b in broken_days(range(210, 216), leader_ends_before_the_deaf)
     )
 
 
@@ -183,7 +183,7 @@
 ) -> None:
     monkeypatch.setattr(Feeding, "allowed", lambda self, relaying=False: True)
     monkeypatch.setattr(Node, "_passed_by", lambda self: None)
-    assert any("ran_cancelled" in b for b in _broken_days(range(220, 224), gap))
+    assert any("ran_cancelled" in b for b in broken_days(range(220, 224), gap))
 
 
 # -- a leader is cut from the state service and the other controllers -----------------------
@@ -246,7 +246,7 @@
     monkeypatch.setattr("tests.test_rules.World", LongTasks)
     monkeypatch.setattr(Feeding, "allowed", lambda self, relaying=False: True)
     monkeypatch.setattr(Delivery, "probe_all", tells_nobody)
-    broken = _broken_days(range(230, 236), cut_off_leader)
+    broken = broken_days(range(230, 236), cut_off_leader)
     assert any("ran_cancelled" in b or "ran_twice" in b for b in broken)
 
 
@@ -329,7 +329,7 @@
             await round_dance(world)
 
     monkeypatch.setattr(Node, "_begin", with_the_old_token)
-    assert any("reused" in b for b in _broken_days(range(240, 242), dance))
+    assert any("reused" in b for b in broken_days(range(240, 242), dance))
 
 
 # -- a command or its answer is held up for seconds, and the machine then goes on -----------
@@ -382,8 +382,7 @@
     assert met["started late"] > 0 and world.checker.starts > 20
 
 
-def test_a_start_given_up_with_its_call_breaks_a_rule(monkeypatch: pytest.MonkeyPatch) -> None:
-    """No answer taken for not carried out: the task is placed elsewhere as well."""
+def give_up_with_the_call(monkeypatch: pytest.MonkeyPatch) -> None:
     call = Delivery._call
 
     async def given_up(self: Delivery, host: Host) -> bool:
@@ -396,7 +395,12 @@
         return done
 
     monkeypatch.setattr(Delivery, "_call", given_up)
-    assert any("ran_twice" in b or "quota" in b for b in _broken_days(range(250, 258), held_up))
+
+
+def test_a_start_given_up_with_its_call_breaks_a_rule(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No answer taken for not carried out: the task is placed elsewhere as well."""
+    give_up_with_the_call(monkeypatch)
+    assert any("ran_twice" in b or "quota" in b for b in broken_days(range(250, 258), held_up))
 
 
 # -- jobs of two or three tasks end far apart across a change of leader ---------------------
@@ -503,7 +507,7 @@
 
     monkeypatch.setattr(Ledger, "ingest", whichever)
     assert any(
-        "ran_twice" in b or "quota" in b for b in _broken_days(range(270, 276), late_reports)
+        "ran_twice" in b or "quota" in b for b in broken_days(range(270, 276), late_reports)
     )
 
 
@@ -579,9 +583,9 @@
 ]  # fmt: skip
 
 
-def drawn(most: int) -> Faults:
+def drawn(most: int, meetings: list[Faults]) -> Faults:
     async def some(world: World) -> None:
-        for faults in world.rng.sample(MEETINGS, world.rng.randint(2, most)):
+        for faults in world.rng.sample(meetings, world.rng.randint(2, most)):
             world.spawn(faults(world))
 
     return some
@@ -589,15 +593,19 @@
 
 @pytest.mark.parametrize("seed", range(280, 286))
 def test_rules_hold_when_meetings_meet(seed: int) -> None:
-    assert play(seed, drawn(3), nodes=(3, 5, 7)[seed % 3]).checker.starts > 5
+    assert play(seed, drawn(3, MEETINGS), nodes=(3, 5, 7)[seed % 3]).checker.starts > 5
 
 
-if __name__ == "__main__":
-    # A soak, outside CI: python -m tests.test_meetings FIRST NUMBER
+def soak(meetings: list[Faults]) -> None:
+    """Outside CI: python -m tests.test_further_meetings FIRST NUMBER (or test_meetings)."""
     first, number = (int(word) for word in sys.argv[1:3])
     for day in range(first, first + number):
         try:
-            starts = play(day, drawn(3), nodes=(3, 5, 7)[day % 3]).checker.starts
+            starts = play(day, drawn(4, meetings), nodes=(3, 5, 7)[day % 3]).checker.starts
             print(day, "no rule broken", starts, flush=True)
         except RuleBroken as broken:
             print(day, broken, flush=True)
+
+
+if __name__ == "__main__":
+    soak(MEETINGS)
