Read again: one question for whether a job is known; a user's cancellation in one place

Intake._refuse asked whether proofs are to be had beside _known_by_proof, which all refusals go through: it asks now, and _refuse only answers. The users that look closely or oddly sent cancellations and repetitions by code of their own; they call Users.cancel and Users.again, and so does the swarm of the tests.

--- a/dunehold/coordination/users/intake.py
+++ b/dunehold/coordination/users/intake.py
@@ -183,13 +183,8 @@
 
     async def _refuse(self, job: JobId | None, status: int, reason: str) -> Response:
         """Another node may have accepted this id: then that stands, whatever is sent now."""
-        if job is not None:
-            if job not in self.view.jobs and self.sync.failing():
-                return OUTAGE
-            known = await self._known_by_proof(job)
-            if known is not None:
-                return known
-        return Response(status, users.encode_error(reason))
+        known = None if job is None else await self._known_by_proof(job)
+        return known or Response(status, users.encode_error(reason))
 
     async def _check_awaits(self, spec: JobSpec) -> Response | None:
         """Why it can't be accepted with what it names, or None.
@@ -217,6 +212,8 @@
         """Its state where it is accepted; 503 where nobody can tell; None: it is not known."""
         if job in self.view.jobs:
             return await self._get(job)
+        if self.sync.failing():
+            return OUTAGE
         try:
             await self.sync.barrier()
         except TROUBLE:
--- a/dunehold/emulator/agents/looks.py
+++ b/dunehold/emulator/agents/looks.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from dunehold.emulator.agents.users import ANSWER_S, FINAL, JOBS, POLL_ANSWER_S, Users
+from dunehold.emulator.agents.users import FINAL, JOBS, POLL_ANSWER_S, Users
 from dunehold.emulator.history import Event
 from dunehold.emulator.model.base import Randomness
 from dunehold.emulator.model.jobs import public
@@ -65,11 +65,8 @@
     async def cancel(self, uid: str) -> None:
         users = self.at[int(self.rng.random() * len(self.at))]
         users.history.add("cancel", uid=uid)
-        asked = asyncio.get_running_loop().time()
-        answer = await users.once("POST", f"{JOBS}/{uid}/cancel", b"{}", ANSWER_S)
+        answer = await users.cancel(uid)
         self.met["cancelled at once"] += answer.status == 200
-        if answer.status == 200:
-            users.told(uid, answer.row, asked)
 
 
 @dataclass(slots=True)
@@ -88,7 +85,8 @@
             uid = known[int(self.rng.random() * len(known))]
             over = self.users.final.get(uid)
             if over == "done":
-                await self._cancel_done(uid)
+                answer = await self.users.cancel(uid)
+                self.answers["over", answer.status] += 1
             elif over is None:
                 await self._repeat(uid)
         await self._impossible(ODD[int(self.rng.random() * len(ODD))], known)
@@ -97,21 +95,8 @@
         """As it was, or with another description: the first one stands."""
         changes: list[dict[str, Any]] = [{}, {"vcpus": 1e6}, {"gpus": None}]
         change = changes[int(self.rng.random() * len(changes))]
-        body = orjson.dumps({**public(self.job(uid)), **change})
-        asked = asyncio.get_running_loop().time()
-        answer = await self.users.once("POST", JOBS, body, ANSWER_S)
+        answer = await self.users.again({**self.job(uid), **change})
         self.answers["known", answer.status] += 1
-        if answer.status in (400, 422):
-            self.users.history.add("refused", uid=uid, status=answer.status)
-        elif answer.status == 200:
-            self.users.told(uid, answer.row, asked)
-
-    async def _cancel_done(self, uid: str) -> None:
-        asked = asyncio.get_running_loop().time()
-        answer = await self.users.once("POST", f"{JOBS}/{uid}/cancel", b"{}", ANSWER_S)
-        self.answers["over", answer.status] += 1
-        if answer.status == 200:
-            self.users.told(uid, answer.row, asked)
 
     async def _impossible(self, odd: str, known: list[str]) -> None:
         if not known:
--- a/dunehold/emulator/agents/users.py
+++ b/dunehold/emulator/agents/users.py
@@ -103,7 +103,15 @@
             await asyncio.sleep(every_s)
             await self.poll("job-999999999")
 
-    async def again(self, job: dict[str, Any]) -> None:
+    async def cancel(self, uid: str) -> Answer:
+        """Asks once; whether its user has asked before is for the caller to note."""
+        asked = self._now()
+        answer = await self.once("POST", f"{JOBS}/{uid}/cancel", b"{}", ANSWER_S)
+        if answer.status == 200:
+            self.told(uid, answer.row, asked)
+        return answer
+
+    async def again(self, job: dict[str, Any]) -> Answer:
         """A retry that comes late, even after the job is over."""
         asked = self._now()
         answer = await self.once("POST", JOBS, orjson.dumps(public(job)), ANSWER_S)
@@ -111,6 +119,7 @@
             self.history.add("refused", uid=job["uid"], status=answer.status)
         elif answer.status in (200, 201):
             self.told(job["uid"], answer.row, asked)
+        return answer
 
     def told(self, uid: str, row: dict[str, Any], asked: float) -> None:
         phase = str(row.get("phase"))
--- a/tests/test_further_meetings.py
+++ b/tests/test_further_meetings.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from dataclasses import replace
 from typing import Any
 
@@ -48,6 +48,7 @@
 from tests.test_awaits import JOB
 from tests.test_meetings import (
     MEETINGS,
+    Faults,
     LongTasks,
     broken_days,
     cancel_through,
@@ -59,8 +60,6 @@
 from tests.test_rules import BUSY_S, play
 from tests.world import Answer, World
 
-Faults = Callable[[World], Awaitable[None]]
-
 
 async def new_leader(world: World, token: int, patience_s: float = 20.0) -> bool:
     """Wait until somebody leads with a later token than that."""
@@ -726,12 +725,8 @@
         await asyncio.sleep(self.rng.uniform(0.1, 3.0))
         self.history.add("cancel", uid=uid)
         asked = self.now()
-        while True:
-            answer = await self.users.once("POST", f"/v1/jobs/{uid}/cancel", b"{}", 5.0)
-            if answer.status == 200:
-                break
+        while (answer := await self.users.cancel(uid)).status != 200:
             await asyncio.sleep(max(1.0, answer.retry_after_s))
-        self.users.told(uid, answer.row, asked)
         self.met["cancellations"] += 1
         self.waited += self.now() - asked
 
@@ -773,7 +768,6 @@
     async def changes(
         self, prefix: str, after: int, hold_s: float, priority: int, paid: bool = False
     ) -> tuple[list[Any], int]:
-
         if hold_s:
             await asyncio.sleep(1000.0)
         now = list(enumerate(self.rows, 1))
