--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -386,7 +386,8 @@
     async def lease_loop(self) -> None:
         while True:
             await asyncio.sleep(0.02)
-            if now() - self.renewed_at > self.site.lease_s and not self.hung():
+            # A machine that hangs keeps its lease no longer than others.
+            if now() - self.renewed_at > self.site.lease_s:
                 if self.tasks:
                     self.site.rec(f"worker {self.name}: lease over, session {self.tenure} ends")
                 self.drop_all("lease")
@@ -409,7 +410,9 @@
             self.site.ended(self, task, why)
 
     async def run(self, task: Task) -> None:
-        left = 0.0 if task.item in self.site.results else self.site.run_s(task.item)
+        fails = self.site.fails(self, task.item)
+        done = task.item in self.site.results
+        left = 0.0 if done else 0.3 if fails else self.site.run_s(task.item)
         while left > 0:
             await asyncio.sleep(min(0.05, left))
             if not self.hung():
@@ -417,7 +420,7 @@
         while self.hung():
             await asyncio.sleep(0.05)
         if task.phase == "running":
-            if self.site.fails(self, task.item):
+            if fails:
                 self.end(task, "error")
             else:
                 self.site.results.add(task.item)
@@ -579,12 +582,14 @@
     def __init__(self, site: Site) -> None:
         self.site = site
         self.rentals: dict[str, list[str]] = {}
+        self.rented_at: list[float] = []
         self.machines: dict[str, dict] = {}  # by name, in order of creation
         self.history: list[tuple[float, list[dict]]] = []
         self.number = 0
         self.bucket = Bucket(site.cloud_rps)
         self.bucket.rate, self.burst = site.cloud_rps, 2 * site.cloud_rps
         self.outage = False
+        self.boot_s: float | None = None  # a fixed time; None: as the type's boot_s says
         self.capacity: dict[tuple[str, str, bool], int] = {}
 
     def rows(self) -> list[dict]:
@@ -616,6 +621,18 @@
             self.site.spawn(self.boot(name, boot_s))
         return name
 
+    async def reclaim(self, name: str, notice_s: float) -> None:
+        """Takes a spot machine back after a notice, which its worker reports."""
+        row = self.machines[name]
+        row["worker"].reclaim_at = now() + notice_s
+        row["worker"].wake.set()
+        self.site.rec(f"cloud: {name} is taken back in {notice_s:.1f} s")
+        await asyncio.sleep(notice_s)
+        if self.machines.pop(name, None) is not None:
+            row["worker"].power_off()
+            self.note()
+            self.site.rec(f"cloud: {name} is gone")
+
     async def boot(self, name: str, boot_s: float) -> None:
         await asyncio.sleep(boot_s)
         row = self.machines.get(name)
@@ -661,16 +678,18 @@
             if row["rental"] in self.rentals:
                 return 200, dump({"hosts": self.rentals[row["rental"]]})
             kind = (row["flavour"], row["hall"], row["loaner"])
+            self.rented_at.append(now())
             held = sum(
                 (m["flavour"], m["hall"], m["loaner"]) == kind for m in self.machines.values()
             )
             number = min(row["number"], self.capacity.get(kind, 0) - held)
             if number <= 0:
                 return 503, dump({"error": "no capacity"})
-            boot_s = self.site.types[row["flavour"]]["boot_s"] * random.uniform(0.6, 1.2)
+            nominal_s = self.site.types[row["flavour"]]["boot_s"]
+            boot_s = self.boot_s or nominal_s * random.uniform(0.6, 1.2)
             names = [await self.create(*kind, boot_s) for _ in range(number)]
             self.rentals[row["rental"]] = names
-            self.site.rec(f"cloud: {node} rents {len(names)} {kind}")
+            self.site.rec(f"cloud: {node} rents {', '.join(names)}: {' '.join(map(str, kind))}")
             return 200, dump({"hosts": names})
         return 404, b"{}"
 
@@ -807,6 +826,7 @@
         self.failing: set[str] = set()  # machines on which every task fails
         self.present: list[tuple[str, str, int]] = []  # (task, machine, try) now on a machine
         self.starts: list[tuple[float, str, str]] = []
+        self.ends: list[tuple[str, str, str]] = []  # task, machine, why
         self.cancelled: dict[str, float] = {}  # when the user was told
         self.told: dict[str, str] = {}  # final state that a user was told
         self.breaches: list[str] = []
@@ -974,6 +994,7 @@
     def ended(self, worker: Worker, task: Task, why: str) -> None:
         self.rec(f"task {task.item} try {task.attempt:x} off {worker.name}: {why}")
         self.present.remove((task.item, worker.name, task.attempt))
+        self.ends.append((task.item, worker.name, why))
 
     async def _watch_presence(self) -> None:
         while True:
