--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
-from standins import CannotRun, Site, now, run_case, trouble  # noqa: E402
+from standins import CannotRun, Site, now, run_case, trouble
 
 NEAR, FAR = "milano-sud", "brescia-est"
 
@@ -25,7 +25,7 @@
         site.start("dunehost-1")
         site.start("dunehost-2")
         await site.healthy()
-        # A first job, so that the image is on the machine and the leader has a connection to it.
+        # First jobs, so that the image is there and the leader has a connection to the machine.
         for number in (1, 2):
             job = site.job(number, hall=FAR)
             if not await site.submit(job, 1.0) or not await site.wait_done(job["uid"]):
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -78,7 +78,9 @@
 
 
 def encode_response(status: int, body: bytes) -> bytes:
-    head = f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {len(body)}"
+    head = (
+        f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {len(body)}"
+    )
     return head.encode() + b"\r\n\r\n" + body
 
 
@@ -117,13 +119,15 @@
 
 
 async def call(port: int, method: str, target: str, body=None, timeout_s: float = 5.0):
-    """One request on a connection of its own; (status, object), or (0, reason) without answer."""
+    """One request on a connection of its own; (status, object), or (0, why) without answer."""
     writer = None
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(LOOP, port, limit=1 << 20)
             data = b"" if body is None else (body if isinstance(body, bytes) else dump(body))
-            head = f"{method} {target} HTTP/1.1\r\nHost: {LOOP}\r\nContent-Length: {len(data)}\r\n"
+            head = (
+                f"{method} {target} HTTP/1.1\r\nHost: {LOOP}\r\nContent-Length: {len(data)}\r\n"
+            )
             writer.write(head.encode() + b"Connection: close\r\n\r\n" + data)
             message = await read_message(reader)
             if message is None:
@@ -516,7 +520,9 @@
             self.baton = baton
             self.wake.set()
 
-    async def direct(self, node: str, method: str, target: str, body: bytes, connected_at: float):
+    async def direct(
+        self, node: str, method: str, target: str, body: bytes, connected_at: float
+    ):
         await self.site.network.to_worker(node, self, method, target, body, connected_at)
         while self.hung():
             await asyncio.sleep(0.02)
@@ -593,7 +599,9 @@
         self.capacity: dict[tuple[str, str, bool], int] = {}
 
     def rows(self) -> list[dict]:
-        return [{k: v for k, v in row.items() if k != "worker"} for row in self.machines.values()]
+        return [
+            {k: v for k, v in row.items() if k != "worker"} for row in self.machines.values()
+        ]
 
     def note(self) -> None:
         self.history.append((now(), self.rows()))
@@ -658,11 +666,14 @@
                 port = live["worker"].ports.get(node, 9) if live else 9
                 out.append(
                     {
-                        "uid": row["uid"], "address": f"{LOOP}:{port}",
-                        "flavour": row["flavour"], "hall": row["hall"],
-                        "loaner": row["loaner"], "phase": row["phase"],
+                        "uid": row["uid"],
+                        "address": f"{LOOP}:{port}",
+                        "flavour": row["flavour"],
+                        "hall": row["hall"],
+                        "loaner": row["loaner"],
+                        "phase": row["phase"],
                         "held_s": now() - row["since"],
-                    }  # fmt: skip
+                    }
                 )
             return 200, dump({"hosts": out, "more": len(rows) > most})
         row = json.loads(body)
@@ -711,7 +722,9 @@
     def begin_zone_cut(self, zone: str) -> None:
         """Hosts of ``zone`` and hosts of other zones can't reach each other from now on."""
         self.cut_since, self.cut_zone, self.healed = now(), zone, asyncio.Event()
-        self.site.rec(f"network: zone {zone} can't reach the other zones, packets are held back")
+        self.site.rec(
+            f"network: zone {zone} can't reach the other zones, packets are held back"
+        )
 
     def end_zone_cut(self) -> None:
         self.site.rec("network: the zones reach each other again")
@@ -744,7 +757,9 @@
             # Connection attempts hang; the worker gives up after 4 s.
             await asyncio.sleep(4.0)
             return 0, {}
-        done = asyncio.create_task(call(self.site.bind[node], "POST", "/v1/report", report, 4.0))
+        done = asyncio.create_task(
+            call(self.site.bind[node], "POST", "/v1/report", report, 4.0)
+        )
         began = now()
         while not done.done():
             await asyncio.wait({done}, timeout=0.05)
@@ -781,7 +796,10 @@
             if site.network.is_cut(*zones):
                 await site.network.hold(connected_at + 1e9)
             far, out = await asyncio.open_connection(LOOP, site.peer[self.target])
-            both = [asyncio.create_task(pump(reader, out)), asyncio.create_task(pump(far, writer))]
+            both = [
+                asyncio.create_task(pump(reader, out)),
+                asyncio.create_task(pump(far, writer)),
+            ]
             await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
             for one in both:
                 one.cancel()
@@ -875,12 +893,8 @@
     # -- controllers ---
 
     async def _configure(self, name: str) -> None:
-        state = await Server(
-            lambda m, t, b, _c: self.state.handle(name, m, t, b)
-        ).start()
-        cloud = await Server(
-            lambda m, t, b, _c: self.cloud.handle(name, m, t, b)
-        ).start()
+        state = await Server(lambda m, t, b, _c: self.state.handle(name, m, t, b)).start()
+        cloud = await Server(lambda m, t, b, _c: self.cloud.handle(name, m, t, b)).start()
         lines = [
             f'host_name = "{name}"', f'site = "{self.zone_of[name]}"',
             f'bind = "{LOOP}:{self.bind[name]}"', f'peer_bind = "{LOOP}:{self.peer[name]}"',
