A start of a cancelled job in transit ends with its worker's session

What callers saw: a user cancelled a job 0.2 s after its start had been sent across a cut of two zones, and was told so. When the cut ended 37 s later the start was delivered and the task began, 3 s after cancel_s. Where the cut lost the start, the leader sent it again, together with its stop, as soon as it reached the machine.

Cause: the proof of the bound counted tasks on machines. A start in an unanswered direct call is carried out as long as the worker's session and token last. A relay renewed that session with proofs that were always fresh, and stopped only what a report listed. The leader made an unanswered start known again before it stopped it, cancelled or not.

Change: a start of a cancelled job is never sent again. While one may still arrive, whoever renews leases answers its worker only for the limit after the last proof that does not show the cancellation, so the session that the start names ends before cancel_s. The leader knows such starts from the ledger and starts nothing else on that machine. A relay knows them from the start log: the leader takes settled starts of cancelled jobs out of it, and the relay excepts attempts that the worker is known to know. Nothing is started by a view that is too old to renew leases. Stored forms are unchanged.

--- a/dunehold/bookkeeping/hosts.py
+++ b/dunehold/bookkeeping/hosts.py
@@ -77,6 +77,14 @@
         """Seconds since it was first reported as running; 0 before that."""
         return 0.0 if self.running_at is None else now - self.running_at
 
+    @property
+    def in_doubt(self) -> bool:
+        """Whether its start is in an unanswered direct call and may not have arrived yet.
+
+        A start of an attempt that the worker has reported has no effect when it arrives again.
+        """
+        return self.unanswered_starts > 0 and not self.reported
+
     @property
     def unsent(self) -> bool:
         """Whether no worker can have carried out its start, so that it can be withdrawn."""
--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -35,6 +35,7 @@
     MonotonicTime,
     OrderId,
     Resources,
+    Revision,
     TaskId,
     TaskPhase,
     Team,
@@ -104,6 +105,8 @@
     _zones: dict[JobId, dict[Zone, int]] = field(default_factory=dict)  # placed tasks by zone
     released: list[TaskId] = field(default_factory=list)
     lost_without_reports: int = 0
+    # Hosts with an attempt that is to stop and whose start may not have arrived yet.
+    _hosts_in_doubt: set[HostId] = field(default_factory=set)
     _attempts: int = 0  # attempt numbers handed out in this term
     _gang_attempts: dict[JobId, Attempt] = field(default_factory=dict)
 
@@ -385,6 +388,8 @@
             # Guards against a host that can be reached by direct calls but can't reach any
             # controller. Every task started there would be killed as its lease expires.
             return "machine does not report"
+        if self.start_in_doubt(host) is not None:
+            return "machine's session may have to end"
         if self.out_of_service_order(host) is not None:
             return "machine is out of service"
         if not host.recorded:
@@ -524,21 +529,44 @@
 
         A stop that was requested before is replaced only by one with a shorter grace period.
         """
-        if (
-            run.occupies
-            and not self.withdraw(run)
-            and (run.stop_grace_s is None or grace_s < run.stop_grace_s)
-        ):
+        if not run.occupies or self.withdraw(run):
+            return
+        if run.in_doubt:
+            self._hosts_in_doubt.add(run.host)
+        if run.stop_grace_s is None or grace_s < run.stop_grace_s:
             run.stop_grace_s = grace_s
             host = self.hosts.get(run.host)
             if host is not None:
                 host.version += 1
 
+    def start_in_doubt(self, host: Host) -> Revision | None:
+        """Return when a job was cancelled whose start may still reach the host.
+
+        If there are several, the revision of the earliest cancellation is returned; None if
+        there is none. Such a start can't be recalled, and sending it again would begin the
+        task. It is refused once the worker's session has ended.
+        """
+        if host.id not in self._hosts_in_doubt:
+            return None
+        in_doubt = [run for run in host.runs.values() if run.in_doubt]
+        if not in_doubt:
+            self._hosts_in_doubt.discard(host.id)
+        cancelled = [
+            self.view.jobs[run.id.task.job].phase_revision
+            for run in in_doubt
+            if self._is_cancelled(run)
+        ]
+        return min(cancelled, default=None)
+
+    def _is_cancelled(self, run: Run) -> bool:
+        record = self.view.jobs.get(run.id.task.job)
+        return record is not None and record.phase is JobPhase.CANCELLED
+
     def commands(self, host: Host, direct: bool, starts: bool) -> list[Command]:
         """Return the commands for the worker, for a direct call or a report's response.
 
         Without ``starts``, only starts that may have been sent before are included. The starts
-        returned count as sent.
+        returned count as sent. Those of cancelled jobs are never included.
         """
         out: list[Command] = []
         for run in list(host.runs.values()):
@@ -552,7 +580,7 @@
                     continue  # withdrawn, since its start was never sent
             if run.unsent and not (starts and run.start_logged):
                 continue
-            if not run.reported:
+            if not run.reported and not self._is_cancelled(run):
                 # The start is sent even if a stop follows: an earlier copy of it may still
                 # arrive late, and the stop ends the attempt for good only if the worker knows
                 # the attempt.
--- a/dunehold/coordination/election/lease_renewal.py
+++ b/dunehold/coordination/election/lease_renewal.py
@@ -9,6 +9,11 @@
 
 Only a proof that this process obtained itself extends the time; answers of peers and changes
 that the watch delivers do not.
+
+A start that was sent and not answered may reach its worker minutes later, for as long as the
+worker's session lasts. If its job has been cancelled by then, a proof that shows the
+cancellation does not help: the task would still begin. For such a worker the latest proof that
+does not show the cancellation takes the place of the latest proof.
 """
 
 from __future__ import annotations
@@ -18,7 +23,7 @@
 
 from dunehold.coordination.persistence.sync import ViewSync
 from dunehold.settings import Settings
-from dunehold.types import Duration
+from dunehold.types import Duration, MonotonicTime, Revision
 
 # Time between the end of the last lease and ``cancel_s``. A killed task disappears a moment
 # after the end of its lease, and a stop that is still saving then is cut off.
@@ -58,5 +63,18 @@
             if relaying
             else self.max_proof_age_s
         )
+        return self._within(self.sync.proved_at, limit_s)
+
+    def allowed_with_start_in_doubt(self, cancelled_at: Revision) -> bool:
+        """Returns whether to renew the lease of a worker that a cancelled start may reach.
+
+        ``cancelled_at``: the revision at which the job of that start was cancelled. The session
+        that the start names ends in time because its lease is not renewed any more.
+        """
+        proved_at = self.sync.proofs.latest_without(cancelled_at)
+        return proved_at is not None and self._within(proved_at, self.max_proof_age_s)
+
+    @staticmethod
+    def _within(proved_at: MonotonicTime, limit_s: float) -> bool:
         now = asyncio.get_running_loop().time()
-        return now < self.sync.proved_at + limit_s / CLOCK_DRIFT_FACTOR
+        return now < proved_at + limit_s / CLOCK_DRIFT_FACTOR
--- a/dunehold/coordination/election/relay.py
+++ b/dunehold/coordination/election/relay.py
@@ -12,6 +12,8 @@
   before that time. If it holds one, the lease counts from the current time.
 - A relay starts nothing. It stops the tasks of jobs that its view shows to be cancelled or
   done.
+- A start that the leader sent before the cut may still be in transit. If its job has been
+  cancelled, the relay lets the session of the worker end, since the start is refused then.
 
 The relay key is bound to a lease, so it disappears if the follower dies. A refused connection
 does not count as a cut: a packet filter between controllers refuses connections too, and then
@@ -23,11 +25,13 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from dunehold.bookkeeping import records
+from dunehold.bookkeeping.records import LeaderRecord
 from dunehold.bookkeeping.view import View
 from dunehold.coordination.election.lease_renewal import LeaseRenewal
+from dunehold.coordination.election.starts_in_doubt import StartsInDoubt
 from dunehold.coordination.persistence.sync import STATE_SERVICE_ERRORS, ViewSync
 from dunehold.protocol import workers
 from dunehold.protocol.state import ABSENT, LeaseExpired, RequestPriority, StateClient, Txn
@@ -71,6 +75,10 @@
     _lease: LeaseId | None = None
     _extended_at: MonotonicTime = MonotonicTime(-1e9)
     _cut_off: bool = False
+    starts_in_doubt: StartsInDoubt = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.starts_in_doubt = StartsInDoubt(self.view)
 
     @staticmethod
     def now() -> MonotonicTime:
@@ -86,6 +94,7 @@
             return None
         now = self.now()
         self._last_report_at = now
+        self.starts_in_doubt.observe(report)
         known = self.view.leader
         relay = self.view.relays.get(self.settings.node)
         if (
@@ -95,10 +104,24 @@
             or not self._cut_off
             or report.token > known.token
             or not self.lease_renewal.allowed(relaying=True)
+            or not self._may_renew_lease_of(report, known)
         ):
             return None
         return workers.encode_reply(known.token, self._stops(report))
 
+    def _may_renew_lease_of(self, report: Report, leader: LeaderRecord) -> bool:
+        """Returns False if the worker's session must end because of a start in doubt."""
+        cancelled_at = self.starts_in_doubt.cancelled_at(report, leader)
+        if cancelled_at is None or self.lease_renewal.allowed_with_start_in_doubt(cancelled_at):
+            return True
+        log.info(
+            "host %s gets no answer, so that its session ends: a start of a job that was "
+            "cancelled at revision %d may still reach it",
+            report.host,
+            cancelled_at,
+        )
+        return False
+
     def _stops(self, report: Report) -> list[Command]:
         stops: list[Command] = []
         for task in report.tasks:
@@ -133,6 +156,7 @@
         now = self.now()
         self._cut_off = now - self._reached_at > LEADER_UNREACHABLE_S
         if not self._cut_off or known is None:
+            self.starts_in_doubt.clear()
             await self._withdraw()
             return
         if now - self._last_report_at > RECENT_REPORT_S:
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -18,6 +18,7 @@
 from dunehold.coordination.election.lease_renewal import CLOCK_DRIFT_FACTOR, LeaseRenewal
 from dunehold.coordination.election.relay import Relay
 from dunehold.coordination.maintenance.operator_api import LeaderStatus, OperatorApi
+from dunehold.coordination.persistence.proofs import ProofHistory
 from dunehold.coordination.persistence.recorder import Recorder
 from dunehold.coordination.persistence.sync import STATE_SERVICE_ERRORS, ViewSync
 from dunehold.coordination.planning.estimates import RuntimeEstimates
@@ -187,6 +188,7 @@
             self._on_change,
             Duration(max(MIN_BARRIER_INTERVAL_S, BARRIER_INTERVAL_REQUESTS / requests)),
             Duration(max(MIN_WATCH_INTERVAL_S, WATCH_INTERVAL_REQUESTS / requests)),
+            ProofHistory(settings.cancel_s),
         )
         self.connectivity = Connectivity(
             settings, self.sync, self.connect, self._on_cut_off_from_state
@@ -624,6 +626,7 @@
             self.types,
             self._may_start,
             self.lease_renewal.allowed,
+            self.lease_renewal.allowed_with_start_in_doubt,
             lambda: self.sync.proved_at,
             self._deposed,
             self.connectivity.workers_silent,
@@ -675,8 +678,16 @@
             await self.state.revoke_lease(lease)
 
     def _may_start(self) -> bool:
-        """Returns whether this node provably still leads; nothing is started otherwise."""
-        return self.leader is not None and self.now() < self.lease_until
+        """Returns whether this node may start tasks.
+
+        It must provably still lead. Its view must not be too old to renew worker leases either:
+        a start that was sent long after the job was cancelled could arrive after ``cancel_s``.
+        """
+        return (
+            self.leader is not None
+            and self.now() < self.lease_until
+            and self.lease_renewal.allowed()
+        )
 
     def _step_down(self, reason: str) -> None:
         """Ends the term and releases the leader lease; does nothing on a follower."""
--- a/dunehold/coordination/persistence/recorder.py
+++ b/dunehold/coordination/persistence/recorder.py
@@ -20,6 +20,7 @@
 from dunehold.bookkeeping.records import HostRecord, JobRecord, ZoneRecord
 from dunehold.bookkeeping.view import VERSIONED_PREFIXES, View
 from dunehold.coordination.persistence.completions import CompletionWriter, GarbageCollector
+from dunehold.coordination.persistence.start_log_cleaner import StartLogCleaner, kept_entries
 from dunehold.coordination.persistence.sync import STATE_SERVICE_ERRORS, ViewSync
 from dunehold.protocol import codec
 from dunehold.protocol.cloud import Rental
@@ -37,6 +38,7 @@
     AttemptId,
     HostId,
     JobId,
+    MonotonicTime,
     OrderId,
     RentalId,
     Revision,
@@ -121,6 +123,7 @@
     _disruptions_written: int = 0  # sequence number of the newest value that is durable
     completions: CompletionWriter = field(init=False)
     garbage_collector: GarbageCollector = field(init=False)
+    start_log_cleaner: StartLogCleaner = field(init=False)
     _max_ops: int = field(init=False)  # writes per transaction; reduced after a rejection
     # Keys with a write that was not answered and may still be applied.
     _uncertain_keys: set[str] = field(default_factory=set)
@@ -131,6 +134,7 @@
     def __post_init__(self) -> None:
         self._max_ops = self.settings.txn_ops
         self.completions = CompletionWriter(self.settings, self.token, self.wall)
+        self.start_log_cleaner = StartLogCleaner(self.view, self.ledger)
         self.garbage_collector = GarbageCollector(
             self.settings,
             self.state,
@@ -301,6 +305,7 @@
             or self._disruptions_written < self._disruptions_requested
             or self.order_progress
             or self.new_successor is not None
+            or self.start_log_cleaner.pending(MonotonicTime(asyncio.get_running_loop().time()))
         )
 
     async def _flush(self) -> None:
@@ -351,6 +356,7 @@
                 break
             if self._job_change(txn, job, limit - txn.size):
                 jobs.append(job)
+        self.start_log_cleaner.add_changes(txn, limit)
         if txn.size:
             keys = {*txn.puts, *txn.deletes}
             for key in keys:
@@ -450,11 +456,7 @@
                 break
             slot = (self._next_slot + number) % records.START_SLOTS
             passed = number + 1
-            placed: records.TasksByHost = {}
-            for host, tasks in self.view.start_log.get(slot, {}).items():
-                kept = {task for task in tasks if self.ledger.must_stay_logged(host, task)}
-                if kept:
-                    placed[host] = kept
+            placed = kept_entries(self.ledger, self.view.start_log.get(slot, {}))
             size = sum(records.starts_bytes(tasks) for tasks in placed.values())
             if size >= room:
                 # Full of tasks that may still run. The slot may also have been written when the
--- a/dunehold/coordination/persistence/sync.py
+++ b/dunehold/coordination/persistence/sync.py
@@ -13,6 +13,7 @@
 
 from dunehold.bookkeeping import records
 from dunehold.bookkeeping.view import View
+from dunehold.coordination.persistence.proofs import Proof, ProofHistory
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.state import RequestPriority, RevisionCompacted, StateClient, Unavailable
 from dunehold.transport.http import NoResponse
@@ -21,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 WATCH_HOLD_S = 20.0  # how long the state service keeps a watch open without a change
+PROOF_RETENTION_S = Duration(60.0)
 FAILING_AFTER_S = 1.0  # barriers count as failing after this time without a proof
 STATE_SERVICE_ERRORS = (Unavailable, NoResponse, BadMessage)
 
@@ -33,6 +35,7 @@
         on_change: called with the changed jobs after changes have been applied.
         barrier_gap_s: minimum time between two barrier requests that are not urgent.
         watch_gap_s: pause between two watch requests.
+        proofs: the latest proofs that the view was current.
         proved_at: when the last successful proof was requested. The view contains everything
             that was durable at that time.
         failing_since: when the first barrier request that failed was sent, if none has
@@ -44,6 +47,7 @@
     on_change: Callable[[list[JobId]], None]
     barrier_gap_s: Duration
     watch_gap_s: Duration
+    proofs: ProofHistory = field(default_factory=lambda: ProofHistory(PROOF_RETENTION_S))
     proved_at: MonotonicTime = MonotonicTime(-1e9)
     failing_since: MonotonicTime | None = None
     _next_barrier: asyncio.Future[None] | None = None  # resolved by the next barrier request
@@ -83,7 +87,7 @@
             self.view.load(entries, revision)
             self.view.apply(changes, latest)
             self.view.resolve_dependencies()
-            self.proved_at = MonotonicTime(sent)
+            self._record_proof(MonotonicTime(sent))
             self.on_change(list(self.view.jobs))
             log.info(
                 "loaded view with %d jobs from a listing at revision %d",
@@ -159,10 +163,15 @@
             await self._refresh(priority)
             return
         touched = self.view.apply(changes, revision)
-        self.proved_at = max(self.proved_at, MonotonicTime(sent))
+        self._record_proof(MonotonicTime(sent))
         if changes:
             self.on_change(touched)
 
+    def _record_proof(self, sent: MonotonicTime) -> None:
+        """Note that the view contains everything that was durable when a request was sent."""
+        self.proved_at = max(self.proved_at, sent)
+        self.proofs.record(Proof(sent, self.view.applied))
+
     async def watch(self) -> None:
         """Apply changes as they happen, until the task is cancelled.
 
--- a/dunehold/coordination/planning/snapshot_builder.py
+++ b/dunehold/coordination/planning/snapshot_builder.py
@@ -253,6 +253,8 @@
                 # If only direct calls reach the host, the task would be killed when the lease
                 # of the worker expires.
                 continue
+            if self.ledger.start_in_doubt(host) is not None:
+                continue  # its session may have to end, and all tasks on it with the session
             cached = self._host_state_cache.get(host.id)
             if (
                 cached is None
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -44,6 +44,7 @@
     JobPhase,
     MonotonicTime,
     NodeId,
+    Revision,
     TaskId,
     Team,
     Tier,
@@ -106,6 +107,9 @@
     may_start: Callable[[], bool]
     # Whether the proof of a current view is recent enough to renew worker leases.
     may_renew_leases: Callable[[], bool]
+    # Whether the lease of a worker may be renewed that a start may still reach whose job was
+    # cancelled at the given revision.
+    may_renew_with_start_in_doubt: Callable[[Revision], bool]
     # When the latest proof of a current view was requested.
     proved_at: Callable[[], MonotonicTime]
     # Ends the term: another node leads, or should lead, for example after a failure here.
@@ -239,6 +243,7 @@
         self.zones.restore(self.view.zones, now)
         self.maintenance.restore(now)
         self.health.restore_broken_jobs(self.view.broken_jobs & self.view.active.keys(), now)
+        self.recorder.start_log_cleaner.add_logged_jobs()
         self.spawn(self.recorder.run())
         self.spawn(self._tick())
         self.spawn(self.zones.poll_peers())
@@ -297,6 +302,7 @@
             self.snapshot_builder.priority_inheritance.remove(job)
             if record.phase is JobPhase.CANCELLED:
                 self._stop_all_attempts(job)
+                self.recorder.start_log_cleaner.add_job(job)
             if self.progress.pop(job, None) is not None:
                 log.info("job %s ended: %s", job, record.phase.value)
                 self.ledger.reported_done.pop(job, None)
@@ -378,6 +384,10 @@
         if report.session <= host.expired_session or report.session < host.session:
             return None  # the report was delayed: its worker no longer waits for a response
         outcome = self.ledger.ingest(report, now)
+        if not self._may_renew_lease_of(host):
+            if outcome.accepted:
+                self._apply_outcome(host, outcome)
+            return None
         host.lease_renewed_at = now
         if not host.recorded and not host.fenced and not host.deleting:
             # The machine must be on record before anything is started on it, so that the next
@@ -393,6 +403,23 @@
             commands = self.ledger.commands(host, direct=False, starts=self.may_start())
         return workers.encode_reply(self.token, commands)
 
+    def _may_renew_lease_of(self, host: Host) -> bool:
+        """Returns False if the host's session must end because of a start that is in doubt.
+
+        The start of a cancelled job cannot be recalled. The worker refuses it only once the
+        session that it names is over.
+        """
+        cancelled_at = self.ledger.start_in_doubt(host)
+        if cancelled_at is None or self.may_renew_with_start_in_doubt(cancelled_at):
+            return True
+        log.info(
+            "host %s gets no answer, so that its session ends: a start of a job that was "
+            "cancelled at revision %d may still reach it",
+            host.id,
+            cancelled_at,
+        )
+        return False
+
     def _handle_higher_token(self, host: HostId, token: Token) -> None:
         """Steps down if a worker has seen a higher token while the leader lease may be over.
 
--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -187,23 +187,28 @@
     }
     confirmed = 0
     for uid in sorted(uids)[:max_jobs]:
-        if world.final_phases.get(uid) is not None:
-            continue
-        world.history.add("cancel", uid=uid)
-        process = world.rng.choice(nodes)
-        asked = world.now()
-        try:
-            status, data, _ = await world.network.request_with_retry_after(
-                "users", process.name, "POST", f"/v1/jobs/{uid}/cancel", b"{}", 3.0
-            )
-        except NoResponse:
-            continue
-        if status == 200:
-            world.users.record_phase(uid, orjson.loads(data), asked)
-            confirmed += 1
+        if world.final_phases.get(uid) is None:
+            confirmed += await cancel_job(world, nodes, uid)
     return confirmed
 
 
+async def cancel_job(world: World, nodes: list[NodeProcess], uid: str) -> bool:
+    """Cancel a job through a random one of the nodes; return whether that was confirmed."""
+    world.history.add("cancel", uid=uid)
+    process = world.rng.choice(nodes)
+    asked = world.now()
+    try:
+        status, data, _ = await world.network.request_with_retry_after(
+            "users", process.name, "POST", f"/v1/jobs/{uid}/cancel", b"{}", 3.0
+        )
+    except NoResponse:
+        return False
+    if status != 200:
+        return False
+    world.users.record_phase(uid, orjson.loads(data), asked)
+    return True
+
+
 @pytest.mark.parametrize("seed", range(220, 224))
 def test_cancelled_tasks_end_though_the_leader_cannot_learn_of_it(seed: int) -> None:
     world = simulate(seed, cancellations_before_outage, nodes=(3, 5)[seed % 2])
