Inherited deadlines are found in one visit to each job

Cause: priorities and deadlines were propagated depth first, so a job was visited again, with all that it needs, for each path by which a tighter deadline reached it. All of it ran without a pause, at the submission and at the start of each term.

Change: an update visits jobs in topological order, each at most once and only where its value may change; jobs that change together are one update. A new leader takes over the start log and the active jobs in slices of 20 ms and plans once all are known; a full listing is applied in slices.

--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -3,6 +3,7 @@
   ; -- leadership (seconds): a shorter lease means a faster takeover and more state requests
   (leader-lease-s 3.0)
   (leader-renew-s 0.8)
+  (blocked-log-s 0.25)        ; work that holds up the event loop for this long is logged
   ; -- placement
   (schedule-interval-s 0.1)   ; minimum time between two plans
   (reservation 1)             ; number of jobs at the head of the queue that get a reservation
--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping.hosts import AttemptExit, Host, ReportOutcome, Run
@@ -72,6 +72,7 @@
         lease_s: duration of a worker lease.
         max_proof_age_s: how long a node renews worker leases without a new proof that its view
             is current.
+        log_restored_later: whether the caller runs restore_log_steps() itself.
         runs_by_task: attempts that occupy a host, by task.
         reported_done: tasks that were reported as done, by job. Their completions may not be
             durable yet.
@@ -92,6 +93,7 @@
     types: dict[TypeName, MachineType]
     lease_s: Duration
     max_proof_age_s: Duration
+    log_restored_later: bool = False
     hosts: dict[HostId, Host] = field(default_factory=dict)
     runs_by_task: dict[TaskId, list[Run]] = field(default_factory=dict)
     task_zones_by_job: dict[JobId, dict[TaskId, Zone]] = field(default_factory=dict)
@@ -123,8 +125,18 @@
             )
             host.recorded = True
             self.unreconciled.add(record.id, host.capacity)
-        for placed in self.view.start_log.values():
+        if not self.log_restored_later:
+            for _ in self.restore_log_steps():
+                pass
+
+    def restore_log_steps(self) -> Iterator[None]:
+        """Add the tasks that the start log places on hosts that have not answered.
+
+        Yields after each slot. Until all are added, nothing may be started.
+        """
+        for placed in list(self.view.start_log.values()):
             self.unreconciled.add_logged_tasks(placed, self.view.jobs)
+            yield
 
     # -- hosts ---------------------------------------------------------------------
 
@@ -411,6 +423,11 @@
         """Whether a host that has not answered this leader may be running the task."""
         return self.unreconciled.may_run(task)
 
+    def placed_tasks(self, job: JobId) -> Iterator[TaskId]:
+        """The job's tasks that occupy a host, or may be on one that has not answered."""
+        yield from self.task_zones_by_job.get(job, ())
+        yield from self.unreconciled.tasks_of(job)
+
     def may_start_job(self, spec: JobSpec) -> bool:
         """Whether tasks of the job may be started as far as unreconciled hosts are concerned.
 
--- a/dunehold/bookkeeping/records.py
+++ b/dunehold/bookkeeping/records.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -131,6 +132,14 @@
         page, bit = divmod(index, TASKS_PER_BITMAP_PAGE)
         return bool(self.completion_bitmaps.get(page, 0) >> bit & 1)
 
+    def done_tasks(self) -> Iterator[int]:
+        """Numbers of the tasks whose completion is durable."""
+        for page, bits in self.completion_bitmaps.items():
+            first = page * TASKS_PER_BITMAP_PAGE
+            for offset, bit in enumerate(reversed(f"{bits:b}")):
+                if bit == "1":
+                    yield first + offset
+
     def done_count(self) -> int:
         """Number of tasks whose completion is durable."""
         return sum(bits.bit_count() for bits in self.completion_bitmaps.values())
--- a/dunehold/bookkeeping/unreconciled.py
+++ b/dunehold/bookkeeping/unreconciled.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping.records import JobRecord, TasksByHost
@@ -30,7 +30,7 @@
     hosts: dict[HostId, Resources] = field(default_factory=dict)
     _hosts_by_task: dict[TaskId, set[HostId]] = field(default_factory=dict)
     _tasks_by_host: dict[HostId, set[TaskId]] = field(default_factory=dict)
-    _task_counts: dict[JobId, int] = field(default_factory=dict)  # tasks of each job
+    _tasks_by_job: dict[JobId, set[TaskId]] = field(default_factory=dict)
     _needs: dict[TaskId, tuple[Team, Resources]] = field(default_factory=dict)
     # Number of tasks by resource need.
     _needs_by_team: dict[Team, Counter[Resources]] = field(default_factory=dict)
@@ -61,7 +61,7 @@
                     self._max_usage.clear()
 
     def _count(self, task: TaskId, record: JobRecord | None) -> None:
-        self._task_counts[task.job] = self._task_counts.get(task.job, 0) + 1
+        self._tasks_by_job.setdefault(task.job, set()).add(task)
         spec = record.spec if record is not None else None
         if spec is not None:
             # Counted once: the task is on one host at most, however many the log names.
@@ -82,7 +82,7 @@
             remaining.discard(host)
             if not remaining:
                 del self._hosts_by_task[task]
-                self._task_counts[task.job] -= 1
+                self._tasks_by_job[task.job].discard(task)
                 released.append(task)
                 self._uncount(task)
         return released
@@ -102,7 +102,11 @@
 
     def task_count(self, job: JobId) -> int:
         """Number of the job's tasks that may be on hosts that have not answered."""
-        return self._task_counts.get(job, 0)
+        return len(self._tasks_by_job.get(job, ()))
+
+    def tasks_of(self, job: JobId) -> Collection[TaskId]:
+        """The job's tasks that may be on hosts that have not answered."""
+        return self._tasks_by_job.get(job, ())
 
     def max_usage(self, team: Team) -> Resources:
         """The most that the team's tasks may use on hosts that have not answered."""
--- a/dunehold/bookkeeping/view.py
+++ b/dunehold/bookkeeping/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -112,9 +113,20 @@
         is that of the first page, must be applied and then resolve_dependencies() called before
         the view is used for any answer.
         """
-        fresh = View(dependencies_resolved=False)
+        fresh = View()
+        for _ in fresh.add_entries(entries):
+            pass
+        self.replace(fresh, revision)
+
+    def add_entries(self, entries: Iterable[Entry]) -> Iterator[None]:
+        """Add the entries of a listing to an empty view; yields after each, for long ones."""
+        self.dependencies_resolved = False
         for entry in entries:
-            fresh._apply_one(Change(entry.key, entry.value, entry.version, False))
+            self._apply_one(Change(entry.key, entry.value, entry.version, False))
+            yield
+
+    def replace(self, fresh: View, revision: Revision) -> None:
+        """Take over the contents of a view to which a listing was added, as load() does."""
         for name in self.__slots__:
             setattr(self, name, getattr(fresh, name))
         self.applied = revision
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -600,6 +600,7 @@
             self.types,
             settings.lease_s,
             self.lease_renewal.max_proof_age_s,
+            log_restored_later=True,
         )
         recorder = Recorder(
             settings,
--- a/dunehold/coordination/persistence/sync.py
+++ b/dunehold/coordination/persistence/sync.py
@@ -16,6 +16,7 @@
 from dunehold.coordination.persistence.proofs import Proof, ProofHistory
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.state import RequestPriority, RevisionCompacted, StateClient, Unavailable
+from dunehold.transport.event_loop import run_in_slices
 from dunehold.transport.http import NoResponse
 from dunehold.types import Duration, JobId, MonotonicTime
 
@@ -73,6 +74,8 @@
             if self.view.loaded:
                 return
             entries, revision = await self.state.entries(records.PREFIX, RequestPriority.LEADER)
+            fresh = View()
+            await run_in_slices(fresh.add_entries(entries))
             sent = asyncio.get_running_loop().time()
             # The pages of a listing show different moments, so the later of two records of one
             # job may be there without the earlier one. Nothing is read from the view before
@@ -84,7 +87,7 @@
                 # The watch has applied newer changes meanwhile, and users may have received
                 # answers that are based on them.
                 raise NoResponse("listing is older than the changes applied to the view")
-            self.view.load(entries, revision)
+            self.view.replace(fresh, revision)
             self.view.apply(changes, latest)
             self.view.resolve_dependencies()
             self._record_proof(MonotonicTime(sent))
--- a/dunehold/coordination/planning/progress.py
+++ b/dunehold/coordination/planning/progress.py
@@ -7,7 +7,7 @@
 from dunehold.bookkeeping.ledger import Ledger
 from dunehold.bookkeeping.records import JobRecord
 from dunehold.protocol.users import JobSpec
-from dunehold.types import UNBOUNDED, MonotonicTime, TaskId
+from dunehold.types import UNBOUNDED, MonotonicTime
 
 MIN_PEER_DURATIONS = 4  # the fewest completed tasks that a run is compared with
 MAX_DURATIONS = 200  # durations that are kept of each job
@@ -44,12 +44,9 @@
 
 def waiting_tasks(record: JobRecord, ledger: Ledger) -> set[int]:
     """Numbers of the tasks that are neither done nor possibly on a host."""
-    spec = record.spec
-    assert spec is not None
-    return {
-        index
-        for index in range(spec.tasks)
-        if not ledger.is_done(record, index)
-        and TaskId(record.id, index) not in ledger.runs_by_task
-        and not ledger.may_run_on_unreconciled_host(TaskId(record.id, index))
-    }
+    assert record.spec is not None
+    waiting = set(range(record.spec.tasks))
+    waiting.difference_update(record.done_tasks())
+    waiting.difference_update(ledger.reported_done.get(record.id, ()))
+    waiting.difference_update(task.number for task in ledger.placed_tasks(record.id))
+    return waiting
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -33,6 +33,7 @@
 from dunehold.protocol.cloud import CloudClient, MachineType
 from dunehold.protocol.workers import Command, Report
 from dunehold.settings import Settings
+from dunehold.transport.event_loop import BlockedTimeLog, run_in_slices
 from dunehold.transport.http import Connect
 from dunehold.types import (
     UNBOUNDED,
@@ -129,6 +130,7 @@
     timeout_factor: float = 1.0
     progress: dict[JobId, JobProgress] = field(default_factory=dict)
     previous_reservations: list[Reservation] = field(default_factory=list)
+    blocked_time: BlockedTimeLog = field(init=False)
     health: Health = field(init=False)
     snapshot_builder: SnapshotBuilder = field(init=False)
     delivery: Delivery = field(init=False)
@@ -145,6 +147,8 @@
     _preempted_at: MonotonicTime = MonotonicTime(-1e9)
     _plan_timer: asyncio.TimerHandle | None = None
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    # Whether the active jobs of the previous leader have been taken over.
+    _jobs_restored: bool = False
     # Whether it has been logged that all machines are reconciled.
     _reconciliation_logged: bool = False
     # Whether any worker has reported in this term.
@@ -162,6 +166,7 @@
     _unknown_token_logged_at: MonotonicTime = MonotonicTime(-1e9)
 
     def __post_init__(self) -> None:
+        self.blocked_time = BlockedTimeLog(self.settings.operator.blocked_log_s)
         self.health = Health(self.settings.operator.sick_after_errors)
         self.late_starts = LateStarts(self.ledger.took_over_at)
         self.zones = ZoneMonitor(
@@ -236,20 +241,41 @@
         now = self.receiving_since = self.now()
         if self.ledger.hosts:
             self._last_report_at = MonotonicTime(now + LEADER_DISCOVERY_S * self.timeout_factor)
-        for job in list(self.view.dependency_index.pending):
-            self.snapshot_builder.priority_inheritance.add_waiting_job(job)
-        for job in list(self.view.active):
-            self._track_job(job)
         self.zones.restore(self.view.zones, now)
         self.maintenance.restore(now)
         self.health.restore_broken_jobs(self.view.broken_jobs & self.view.active.keys(), now)
         self.recorder.start_log_cleaner.add_logged_jobs()
+        self.spawn(self._restore_jobs())
         self.spawn(self.recorder.run())
         self.spawn(self._tick())
         self.spawn(self.zones.poll_peers())
         self.fleet.start()
         self.spawn(self.delivery.probe_all())
 
+    async def _restore_jobs(self) -> None:
+        """Takes over the start log and the active jobs, in slices.
+
+        Leases, that of the leader and those of workers, are renewed meanwhile.
+
+        Nothing is planned before everything is known: a task could be on a machine already,
+        and work of lower priority could go first.
+        """
+        await run_in_slices(self.ledger.restore_log_steps())
+        waiting = list(self.view.dependency_index.pending)
+        inheritance = self.snapshot_builder.priority_inheritance
+        await run_in_slices(inheritance.update_steps(waiting, []))
+        await run_in_slices(self._track_steps(list(self.view.active)))
+        self._jobs_restored = True
+        for _ in self._track_steps(list(self.view.active)):
+            pass  # jobs that came or became free meanwhile
+        self.request_scheduling()
+
+    def _track_steps(self, jobs: list[JobId]) -> Iterator[None]:
+        for job in jobs:
+            if self._may_track(job):
+                self._track_job(job)
+            yield
+
     def stop(self) -> None:
         """Cancels the tasks of the term and closes the connections to workers."""
         for task in self._tasks:
@@ -285,21 +311,24 @@
 
     def jobs_changed(self, touched: list[JobId]) -> None:
         """Applies changes of job records: tracks new jobs, drops ended ones, and replans."""
+        with self.blocked_time.measure(f"{len(touched)} changed jobs"):
+            self._update_inheritance(touched)
+            self._apply_job_changes(touched)
+        if touched:
+            self.snapshot_builder.guaranteed_jobs = None
+            self.request_scheduling()
+
+    def _apply_job_changes(self, touched: list[JobId]) -> None:
         for job in touched:
             record = self.view.jobs.get(job)
             if record is None:
                 continue
             if record.phase is JobPhase.ACTIVE:
-                self.snapshot_builder.priority_inheritance.refresh(job)
-                if self.view.waits_for_dependencies(job):
-                    self.snapshot_builder.priority_inheritance.add_waiting_job(job)
-                    continue
-                if job not in self.progress:
+                if self._jobs_restored and self._may_track(job):
                     self._track_job(job)
                     if record.spec is not None:
                         self.snapshot_builder.record_arrival(record.spec, self.now())
                 continue
-            self.snapshot_builder.priority_inheritance.remove(job)
             if record.phase is JobPhase.CANCELLED:
                 self._stop_all_attempts(job)
                 self.recorder.start_log_cleaner.add_job(job)
@@ -308,9 +337,17 @@
                 self.ledger.reported_done.pop(job, None)
                 self.health.forget_job(job)
                 self.maintenance.disruptions.job_ended(job)
-        if touched:
-            self.snapshot_builder.guaranteed_jobs = None
-            self.request_scheduling()
+
+    def _update_inheritance(self, touched: list[JobId]) -> None:
+        """Updates the priorities that jobs inherit, at once for all jobs that changed."""
+        inheritance = self.snapshot_builder.priority_inheritance
+        for job in touched:
+            if job in self.view.jobs and job not in self.view.active:
+                inheritance.remove(job)
+        inheritance.update(
+            added=[job for job in touched if self.view.waits_for_dependencies(job)],
+            stale=[job for job in touched if job in self.view.active],
+        )
 
     def _stop_all_attempts(self, job: JobId) -> None:
         """Stops all attempts of a cancelled job by direct calls, ahead of the next reports.
@@ -341,10 +378,18 @@
                 self.ledger.hosts[run.host].version += 1  # its cached state holds the priority
         self.request_scheduling()
 
+    def _may_track(self, job: JobId) -> bool:
+        """Returns whether the job is active, free of dependencies and not planned yet."""
+        return (
+            job in self.view.active
+            and job not in self.progress
+            and not self.view.waits_for_dependencies(job)
+        )
+
     def _track_job(self, job: JobId) -> None:
-        """Lets an active job be planned, unless it still waits for its dependencies."""
+        """Lets an active job be planned that waits for no dependencies."""
         record = self.view.active[job]
-        if record.spec is not None and not self.view.waits_for_dependencies(job):
+        if record.spec is not None:
             self.progress[job] = self.snapshot_builder.create_progress(record)
 
     def running_counts(self) -> dict[JobId, int]:
@@ -600,7 +645,8 @@
         soon after the last one is postponed. Exceptions are logged and not raised.
         """
         try:
-            self._schedule(due)
+            with self.blocked_time.measure("planning"):
+                self._schedule(due)
         except Exception:
             # A job that planning cannot handle must not end the term: each next leader would
             # fail on the same job, and no worker's reports would be handled any more.
@@ -608,7 +654,7 @@
 
     def _schedule(self, due: bool) -> None:
         now = self.now()
-        if not self._dirty or not self.may_start():
+        if not self._dirty or not self._jobs_restored or not self.may_start():
             return
         if not due and now - self._planned_at < self._plan_interval_s:
             self.request_scheduling()
@@ -796,9 +842,10 @@
             self.schedule()
             if now - scaled_at >= SCALE_INTERVAL_S:
                 scaled_at = now
-                self.snapshot_builder.update_scarcity(self.progress, now)
-                if self._fleet_size_known(now):
-                    self.fleet.scale(self.progress, now)
+                with self.blocked_time.measure("scaling the fleet"):
+                    self.snapshot_builder.update_scarcity(self.progress, now)
+                    if self._fleet_size_known(now):
+                        self.fleet.scale(self.progress, now)
             if now - logged_at >= FLEET_LOG_INTERVAL_S:
                 logged_at = now
                 self._log_fleet()
@@ -878,6 +925,7 @@
         """
         if (
             not self.may_start()
+            or not self._jobs_restored
             or now - self._stalled_at < self.snapshot_builder.report_timeout_s
         ):
             return False
--- a/dunehold/settings.py
+++ b/dunehold/settings.py
@@ -91,6 +91,7 @@
     bind_outgoing: int = 0  # connections go out from the address of ``bind``
     pack_submissions: int = 1  # jobs that wait for the write rate limiter share keys
     operator_port: int = 0  # 0: no port for operators
+    blocked_log_s: float = 0.25  # work that holds up the event loop for this long is logged
     disruption: DisruptionBudgets = DisruptionBudgets()
 
 
--- a/tests/test_further_fault_combinations.py
+++ b/tests/test_further_fault_combinations.py
@@ -558,7 +558,7 @@
 
     monkeypatch.setattr(Ledger, "ingest", ingest_any_token)
     monkeypatch.setattr(Leader, "_handle_higher_token", lambda self, host, token: None)
-    breaches = collect_breaches(range(470, 476), old_reports_to_new_leader)
+    breaches = collect_breaches(range(464, 482), old_reports_to_new_leader)
     assert any("ran_twice" in b or "quota" in b for b in breaches)
 
 
@@ -718,6 +718,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(UnreconciledHosts, "may_run", lambda self, task: False)
+    monkeypatch.setattr(UnreconciledHosts, "tasks_of", lambda self, job: ())
     assert any(
         "ran_twice" in b for b in collect_breaches(range(500, 506), frequent_leader_changes)
     )
@@ -1064,6 +1065,7 @@
     """The start log is the new leader's only source for the tasks on these machines."""
     monkeypatch.setattr("tests.test_rules.World", LongTasks)
     monkeypatch.setattr(UnreconciledHosts, "may_run", lambda self, task: False)
+    monkeypatch.setattr(UnreconciledHosts, "tasks_of", lambda self, job: ())
     assert any(
         "ran_twice" in b for b in collect_breaches(range(560, 564), unreachable_long_tasks)
     )
