A job that failed on faulty machines is tried again once they are gone

What callers saw: an array failed on three faulty machines, which the cloud then took back. Nothing was rented any more, and the job stayed queued with nothing at fault.

Cause: the judgement that a job is broken ended with a result only, and the demand for machines left out jobs so judged. With the machines gone that the job may use, nothing could bring a result. On the same path: a success did not reach the durable record, and a service stayed on one replica, since its tasks never complete.

Change: the judgement names the machines that it rests on and lapses when they turn out to be faulty, or are gone with nothing having succeeded on them. From the judgement to the first success a job is on trial: one task at a time (a gang whole), at intervals that grow to 60 s and do not start anew with a lapse; the next trial counts in the demand. A replica that has run for 20 s is a success. Who is on trial is durable, in the form of before.

--- a/dunehold/coordination/planning/health.py
+++ b/dunehold/coordination/planning/health.py
@@ -5,6 +5,10 @@
 it. Each judgement withdraws the conclusions that the other one drew from the same failures: any
 number of broken jobs must not cost the fleet its healthy hosts, and a faulty host must be found
 while such jobs are active.
+
+A judged job is not given up: one of its tasks is tried at a time, at growing intervals, until
+one succeeds. The judgement itself rests on the machines that it names. It lapses when they turn
+out to be faulty, or are gone without any other job having succeeded on them.
 """
 
 from __future__ import annotations
@@ -27,7 +31,8 @@
     """The successes and failures of one job, and the backoff that follows from them."""
 
     has_succeeded: bool = False  # a task of the job has completed, so the job can run
-    broken: bool = False
+    # The hosts that the judgement rests on; empty for one that an earlier leader passed.
+    evidence: set[HostId] = field(default_factory=set)
     # Number of failures on each host; the host of the latest failure comes last.
     failed_on: dict[HostId, int] = field(default_factory=dict)
     tries: int = 0  # failed tries that count for the backoff
@@ -47,6 +52,10 @@
     jobs: dict[JobId, _JobHealth] = field(default_factory=dict)
     # Jobs that failed on each host since its last success.
     failed_jobs_by_host: dict[HostId, set[JobId]] = field(default_factory=dict)
+    # Hosts on which a task has succeeded.
+    _sound_hosts: set[HostId] = field(default_factory=set)
+    _broken: set[JobId] = field(default_factory=set)
+    _on_trial: set[JobId] = field(default_factory=set)
 
     def record_success(self, job: JobId, host: HostId) -> set[HostId]:
         """Records that a task has completed on the host.
@@ -54,6 +63,7 @@
         Returns the other hosts whose judgement may have changed.
         """
         self.failed_jobs_by_host.pop(host, None)
+        self._sound_hosts.add(host)
         entry = self.jobs.get(job)
         if entry is None:
             # Remembered, so that later failures are not taken for those of a job that has never
@@ -64,7 +74,8 @@
         if entry.has_succeeded:
             return set()
         entry.has_succeeded = True
-        entry.broken = False
+        self._broken.discard(job)
+        self._on_trial.discard(job)
         entry.backoff_until = MonotonicTime(-1e9)
         return set(entry.failed_on)
 
@@ -77,17 +88,23 @@
         count = entry.failed_on.pop(host, 0)
         entry.failed_on[host] = count + 1
         self.failed_jobs_by_host.setdefault(host, set()).add(job)
+        self._withdraw_explained(host, now)
         while len(entry.failed_on) > MAX_FAILED_HOSTS_PER_JOB:
             oldest = next(iter(entry.failed_on))
             del entry.failed_on[oldest]
             self._clear_failure(oldest, job)
-        if entry.broken:
+        if job in self._broken:
             self._back_off(entry, now)
             return {host}
         if entry.has_succeeded or len(self._unexplained(entry, job)) < MIN_HOSTS_TO_JUDGE_JOB:
-            self._slow_down_unjudged(entry, now)
+            if job in self._on_trial:
+                self._back_off(entry, now)
+            else:
+                self._slow_down_unjudged(entry, now)
             return {host}
-        entry.broken = True
+        self._broken.add(job)
+        self._on_trial.add(job)
+        entry.evidence = set(self._unexplained(entry, job))
         self._back_off(entry, now)
         return set(entry.failed_on)
 
@@ -114,6 +131,33 @@
             if self._evidence(host, job) < self.faulty_after_failures
         ]
 
+    def _withdraw_explained(self, host: HostId, now: MonotonicTime) -> None:
+        """Withdraws the host from judgements if others' failures show that it is faulty."""
+        for job in list(self.failed_jobs_by_host.get(host, ())):
+            entry = self.jobs.get(job)
+            if (
+                entry is not None
+                and host in entry.evidence
+                and self._evidence(host, job) >= self.faulty_after_failures
+            ):
+                self._withdraw_evidence(job, entry, host, now)
+
+    def _withdraw_evidence(
+        self, job: JobId, entry: _JobHealth, host: HostId, now: MonotonicTime
+    ) -> None:
+        """Lets the judgement lapse if it rests on too few hosts without this one.
+
+        The job is tried again at once, but still one task at a time, and the intervals do not
+        start anew: a job that really is broken must not cost several machines again.
+        """
+        if host not in entry.evidence:
+            return
+        entry.evidence.discard(host)
+        if job in self._broken and len(entry.evidence) < MIN_HOSTS_TO_JUDGE_JOB:
+            self._broken.discard(job)
+            entry.evidence.clear()
+            entry.backoff_until = now
+
     def _back_off(self, entry: _JobHealth, now: MonotonicTime) -> None:
         """Delays the next try of a job, longer with each failed try."""
         entry.tries += 1
@@ -137,7 +181,7 @@
         evidence = 0
         for job in self.failed_jobs_by_host.get(host, ()):
             entry = self.jobs.get(job)
-            if entry is None or entry.broken or job == excluded_job:
+            if entry is None or job in self._broken or job == excluded_job:
                 continue
             evidence += entry.failed_on.get(host, 0) if entry.has_succeeded else 1
         return evidence
@@ -155,8 +199,18 @@
 
     def is_broken(self, job: JobId) -> bool:
         """Whether the job is judged to fail on every host."""
-        entry = self.jobs.get(job)
-        return entry is not None and entry.broken
+        return job in self._broken
+
+    def is_on_trial(self, job: JobId) -> bool:
+        """Whether only one task of the job is to be tried at a time, a whole gang if it is one.
+
+        That is so from the judgement until a task succeeds, even if the judgement has lapsed.
+        """
+        return job in self._on_trial
+
+    def jobs_on_trial(self) -> set[JobId]:
+        """The jobs of which only one task is to be tried at a time."""
+        return set(self._on_trial)
 
     def restore_broken_jobs(self, jobs: set[JobId], now: MonotonicTime) -> None:
         """Takes over jobs that an earlier leader found broken.
@@ -165,12 +219,13 @@
         """
         for job in sorted(jobs):
             entry = self.jobs.setdefault(job, _JobHealth())
-            entry.broken = True
+            self._broken.add(job)
+            self._on_trial.add(job)
             self._back_off(entry, now)
 
     def broken_jobs(self) -> set[JobId]:
         """The jobs that are judged to fail on every host."""
-        return {job for job, entry in self.jobs.items() if entry.broken}
+        return set(self._broken)
 
     def in_backoff(self, job: JobId, now: MonotonicTime) -> bool:
         """Whether no task of the job should be started yet."""
@@ -187,14 +242,26 @@
 
     def forget_job(self, job: JobId) -> None:
         """Drops a job that is over, and its failures."""
+        self._broken.discard(job)
+        self._on_trial.discard(job)
         entry = self.jobs.pop(job, None)
         if entry is not None:
             for host in entry.failed_on:
                 self._clear_failure(host, job)
 
-    def forget_host(self, host: HostId) -> None:
-        """Drops the failures on a host that is gone."""
+    def forget_host(self, host: HostId, now: MonotonicTime) -> bool:
+        """Drops the failures on a host that is gone; returns whether a judgement has lapsed.
+
+        If nothing has ever succeeded on it, it may have been faulty, and no judgement rests on
+        it any more.
+        """
+        before = len(self._broken)
+        sound = host in self._sound_hosts
+        self._sound_hosts.discard(host)
         for job in self.failed_jobs_by_host.pop(host, ()):
             entry = self.jobs.get(job)
             if entry is not None:
                 entry.failed_on.pop(host, None)
+                if not sound:
+                    self._withdraw_evidence(job, entry, host, now)
+        return len(self._broken) < before
--- a/dunehold/coordination/planning/snapshot_builder.py
+++ b/dunehold/coordination/planning/snapshot_builder.py
@@ -314,7 +314,7 @@
 
         gang = spec.kind is JobKind.GANG
         broken = self.health.is_broken(spec.id)
-        max_tasks = 1 if broken else MAX_TASKS_PER_PLAN
+        max_tasks = 1 if self.health.is_on_trial(spec.id) else MAX_TASKS_PER_PLAN
         tasks = progress.waiting if gang else islice(progress.waiting, max_tasks)
         return Entry(
             job=spec.id,
@@ -347,8 +347,7 @@
         """Whether no task of the job may be started now although some are waiting."""
         if now < progress.held_until or self.health.in_backoff(job, now):
             return True
-        # A broken job is tried with one task at a time.
-        return self.health.is_broken(job) and job in self.ledger.task_zones_by_job
+        return self.health.is_on_trial(job) and job in self.ledger.task_zones_by_job
 
     def _order(
         self, progress: JobProgress, waited: float, run_s: float, eligible_at: float
@@ -618,10 +617,7 @@
                 job,
             )
             for job, progress in jobs.items()
-            if progress.waiting
-            and job in active
-            and now >= progress.held_until
-            and not self.health.is_broken(job)
+            if progress.waiting and job in active and self._may_demand(job, progress, now)
         ]
         rentable_zones = [zone for zone in self.settings.zones if self.zones.rentable(zone)]
         cpus_left: dict[Team, float] = {}
@@ -629,6 +625,8 @@
             progress = jobs[job]
             spec = progress.spec
             tasks = len(progress.waiting)
+            if self.health.is_on_trial(job) and spec.kind is not JobKind.GANG:
+                tasks = 1
             team = self.settings.teams.get(spec.team)
             if team is not None and team.limit_cpus is not None and spec.need.cpus > 0:
                 # More machines are of no use to a team at its limit.
@@ -642,6 +640,16 @@
                 all_demands += demands_for_job(spec, tasks, run_s, placed, rentable_zones)
         return all_demands
 
+    def _may_demand(self, job: JobId, progress: JobProgress, now: MonotonicTime) -> bool:
+        """Whether machines may be rented for the job.
+
+        A job on trial gets one for its next task once that may be started, so that it is tried
+        even when no machine is left that it may use.
+        """
+        if self.health.is_on_trial(job):
+            return not self._is_held_back(job, progress, now)
+        return now >= progress.held_until
+
     def peak_demand_cpus(self, demands: list[Demand], now: MonotonicTime) -> float:
         """The most CPUs wanted at once within ``demand_memory_s``, with headroom added."""
         memory_s = self.settings.operator.demand_memory_s
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -588,9 +588,7 @@
         if exit_.exit_reason is ExitReason.DONE:
             self.maintenance.disruptions.task_restored(run.id.task)
             if progress is not None:
-                self.quarantine.update_hosts(
-                    {host.id, *self.health.record_success(job, host.id)}, self.now()
-                )
+                self.quarantine.record_success(host, job, self.now())
                 if run.duration_s is not None and not run.adopted:
                     self.estimates.record_run(progress.spec, run.duration_s)
                     self.quarantine.record_duration(host, progress, run.duration_s)
@@ -773,7 +771,7 @@
 
     def _host_removed(self, host: HostId) -> None:
         self.delivery.drop(host)
-        self.health.forget_host(host)
+        self.quarantine.forget_host(host, self.now())
 
     # -- periodic work -------------------------------------------------------------------
 
@@ -828,6 +826,7 @@
             self._handle_lost(self.ledger.expire_leases(min(now, self.proved_at())))
             self._check_reconciled()
             self.maintenance.update(now)
+            self.quarantine.confirm_services(now)
             self.fleet.return_hosts(now, self.receiving_since)
             self.fleet.record_boots(now)
             for host in self.ledger.hosts.values():
--- a/dunehold/coordination/term/quarantine.py
+++ b/dunehold/coordination/term/quarantine.py
@@ -23,6 +23,8 @@
 MAX_SLOWNESS = 4.0
 # Number of consecutive slow results after which a machine is quarantined.
 SLOW_RESULTS_TO_QUARANTINE = 2
+# Run time after which a replica of a service on trial counts as a success.
+SERVICE_TRIAL_S = 20.0
 # Reason for draining a machine that is quarantined for failed tasks.
 FAILING_TASKS_REASON = "tasks fail on it"
 
@@ -44,13 +46,47 @@
 
     def record_failure(self, host: Host, job: JobId, now: MonotonicTime) -> None:
         """Takes account of a failed task of ``job`` on ``host``."""
-        was_broken = self.health.is_broken(job)
+        before = self.health.jobs_on_trial()
         self.update_hosts(self.health.record_failure(job, host.id, now), now)
-        if self.health.is_broken(job) and not was_broken:
-            log.info("job %s fails on every machine; retrying it with a backoff", job)
-            self.recorder.record_broken_jobs(self.health.broken_jobs())
+        self._record_judgements(before)
+
+    def record_success(self, host: Host, job: JobId, now: MonotonicTime) -> None:
+        """Takes account of a completed task of ``job`` on ``host``."""
+        before = self.health.jobs_on_trial()
+        self.update_hosts({host.id, *self.health.record_success(job, host.id)}, now)
+        self._record_judgements(before)
+
+    def confirm_services(self, now: MonotonicTime) -> None:
+        """Takes replicas on trial that have run for a while for successes.
+
+        The tasks of a service never complete, so that nothing else would end its trial.
+        """
+        for job in sorted(self.health.jobs_on_trial()):
+            for task in list(self.ledger.task_zones_by_job.get(job, ())):
+                for run in self.ledger.runs_by_task.get(task, ()):
+                    host = self.ledger.hosts.get(run.host)
+                    if run.service and host is not None and run.ran_s(now) >= SERVICE_TRIAL_S:
+                        self.record_success(host, job, now)
+
+    def forget_host(self, host: HostId, now: MonotonicTime) -> None:
+        """Takes account of a machine that is gone."""
+        if self.health.forget_host(host, now):
             self.snapshot_builder.guaranteed_jobs = None
 
+    def _record_judgements(self, before: set[JobId]) -> None:
+        """Makes changes of the jobs on trial durable, which were ``before``.
+
+        A job stays on trial when its judgement lapses. The next leader tries its tasks one at a
+        time as well.
+        """
+        after = self.health.jobs_on_trial()
+        if after == before:
+            return
+        for job in sorted(after - before):
+            log.info("job %s fails on every machine; trying one task at a time", job)
+        self.recorder.record_broken_jobs(after)
+        self.snapshot_builder.guaranteed_jobs = None
+
     def update_hosts(self, hosts: set[HostId], now: MonotonicTime) -> None:
         """Updates suspicion and quarantine of these machines after a change of their health."""
         for host_id in sorted(hosts):
