--- a/tests/world.py
+++ b/tests/world.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import contextvars
 import random
 from collections import Counter
@@ -26,6 +27,7 @@
 from dunehold.emulator.history import Event, History
 from dunehold.emulator.model.base import TokenBucket
 from dunehold.emulator.model.cloud import BootProfile, Cloud, HostKind, MachineType
+from dunehold.emulator.model.copies import RequestCopies
 from dunehold.emulator.model.jobs import Jobs
 from dunehold.emulator.model.store import Limits, Store
 from dunehold.settings import (
@@ -86,12 +88,18 @@
 
 
 class Network:
-    """Delivers messages with a random latency; a cut delays or loses them."""
+    """Delivers messages with a random latency; a cut delays or loses them.
 
-    def __init__(self, rng: random.Random) -> None:
+    Answered requests may be delivered once more (``copies``).
+    """
+
+    def __init__(self, rng: random.Random, copies: RequestCopies) -> None:
         self.rng = rng
         self.services: dict[str, Service] = {}
         self.gate = NetworkGate()
+        self.copies = copies
+        self.copies_delivered: Counter[str] = Counter()  # by path, without ids
+        self._copy_tasks: set[asyncio.Task[None]] = set()
 
     async def cut_for(
         self, a: str, b: str, mode: str, seconds: float, one_way: bool = False
@@ -126,8 +134,25 @@
             raise ConnectionRefusedError
         answer = await service(method, target, body, a)
         await self.deliver(b, a)
+        delay_s = self.copies.draw_delay_s(target)
+        if delay_s is not None:
+            task = asyncio.create_task(self._deliver_copy(a, b, method, target, body, delay_s))
+            self._copy_tasks.add(task)
+            task.add_done_callback(self._copy_tasks.discard)
         return answer
 
+    async def _deliver_copy(
+        self, a: str, b: str, method: str, target: str, body: bytes | None, delay_s: float
+    ) -> None:
+        """Deliver an answered request once more; nobody gets the answer."""
+        await asyncio.sleep(delay_s)
+        with contextlib.suppress(OSError):
+            await self.gate.wait_until_open(a, b)
+            service = self.services.get(b)
+            if service is not None:
+                self.copies_delivered["/".join(target.partition("?")[0].split("/")[:3])] += 1
+                await service(method, target, body, a)
+
     async def request_with_retry_after(
         self, a: str, b: str, method: str, target: str, body: bytes | None, timeout_s: float
     ) -> ServiceResponse:
@@ -317,7 +342,8 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.tamper = tamper
-        self.network = Network(self.rng)
+        # Copies have random numbers of their own: a world without them stays as it is.
+        self.network = Network(self.rng, RequestCopies(random.Random(seed)))
         self.limits = {"blue": 24.0, "red": 0.0, "guest": 0.0}  # CPUs by team; 0: no limit
         self.broken_share = 0.0  # share of jobs whose tasks fail whenever they run
         # Share of jobs that belong to team guest: of idle priority, with up to 300 tasks.
