Commands close their connection before their event loop ends

An interrupt printed a traceback.

Cause: a command ran one request on an event loop and left the connection in the client's pool; the loop was gone when the writer was collected. Change: the four places that did so share command_request.run_request, which closes the client's connections and waits for that before the loop ends, whatever happened. An interrupted command says so in one line and exits with 130.

--- a/dunehold/cli.py
+++ b/dunehold/cli.py
@@ -18,6 +18,7 @@
 OPERATOR_FILE = Path(__file__).resolve().parent.parent / "deploy" / "operator.sexp"
 EXIT_FAILED = 1  # no answer, or the request was refused
 EXIT_USAGE = 2  # wrong arguments, settings or files
+EXIT_INTERRUPTED = 130  # by SIGINT, as shells report it
 EMULATOR_COMMANDS = ("up", "emulate", "experiment", "fault", "check-history")
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -106,6 +107,14 @@
     options = build_parser(emulator=given[:1] not in (["serve"], ["check-config"])).parse_args(
         given
     )
+    try:
+        return _run_command(options)
+    except KeyboardInterrupt:
+        print(f"dunehold: {options.command}: interrupted", file=sys.stderr)
+        return EXIT_INTERRUPTED
+
+
+def _run_command(options: argparse.Namespace) -> int:
     if options.command in EMULATOR_COMMANDS:
         return _emulator(options)
     if options.command in operator_commands.COMMANDS:
@@ -166,8 +175,9 @@
 
 def _client(options: argparse.Namespace) -> int:
     """Runs a command that sends one request to a controller, and prints the answer."""
+    from dunehold.command_request import run_request
     from dunehold.protocol import codec, peers, users
-    from dunehold.transport.http import HttpClient, NoResponse, parse_address
+    from dunehold.transport.http import NoResponse, parse_address
 
     address = parse_address(options.server)
     if address is None:
@@ -206,8 +216,9 @@
         if options.command == "cancel":
             method, target, sent = "POST", f"{target}/{users.CANCEL_SUFFIX}", b"{}"
     try:
-        client = HttpClient(*address)
-        code, data = asyncio.run(client.request(method, target, sent, options.timeout))
+        code, data = run_request(
+            address, lambda client: client.request(method, target, sent, options.timeout)
+        )
     except NoResponse as error:
         print(f"dunehold: {options.server}: no answer ({error}); try again", file=sys.stderr)
         return EXIT_FAILED
@@ -226,16 +237,19 @@
 
 def _print_unmet_dependencies(options: argparse.Namespace) -> int:
     """Prints the jobs that this one waits for, which the users' API does not tell."""
+    from dunehold.command_request import run_request
     from dunehold.protocol import codec, peers
-    from dunehold.transport.http import HttpClient, NoResponse, parse_address
+    from dunehold.transport.http import NoResponse, parse_address
 
     address = parse_address(options.peer)
     if address is None:
         print("dunehold: --peer: must be HOST:PORT", file=sys.stderr)
         return EXIT_USAGE
     try:
-        client = HttpClient(*address)
-        waits = asyncio.run(peers.get_unmet_dependencies(client, options.job, options.timeout))
+        waits = run_request(
+            address,
+            lambda client: peers.get_unmet_dependencies(client, options.job, options.timeout),
+        )
     except (NoResponse, codec.BadMessage) as error:
         print(f"dunehold: {options.peer}: no answer ({error}); try again", file=sys.stderr)
         return EXIT_FAILED
--- a/dunehold/emulator/commands.py
+++ b/dunehold/emulator/commands.py
@@ -14,6 +14,7 @@
 import msgspec
 import orjson
 
+from dunehold.command_request import run_request
 from dunehold.emulator import faults, history
 from dunehold.emulator.check import check
 from dunehold.emulator.scenario import DEFAULT_SCENARIO, Scenario, ScenarioError, load, parse
@@ -22,10 +23,11 @@
 from dunehold.emulator.serve.control import FAULTS_PATH, JOBS_PATH, ControlServer
 from dunehold.emulator.serve.fault_injector import FaultInjector, read_fault_log
 from dunehold.emulator.serve.runner import ScenarioRunner, format_result
-from dunehold.transport.http import HttpClient, NoResponse, parse_address
+from dunehold.transport.http import NoResponse, parse_address
 
 EXIT_FAILED = 1  # the command failed, or the run broke a rule
 EXIT_USAGE = 2  # a mistake in an option or a file
+CONTROL_TIMEOUT_S = 30.0  # for an answer of the emulator's control interface
 # The job that ``dunehold up`` writes to first-job.json, with a team of its scenario as owner.
 EXAMPLE_JOB = {
     "uid": "job-000001", "jobclass": "first", "owner": "blue", "shape": "batch",
@@ -275,8 +277,9 @@
         print(f"dunehold: {control_address}: must be HOST:PORT", file=sys.stderr)
         return EXIT_USAGE
     try:
-        client = HttpClient(*address)
-        status, data = asyncio.run(client.request("POST", path, body, 30.0))
+        status, data = run_request(
+            address, lambda client: client.request("POST", path, body, CONTROL_TIMEOUT_S)
+        )
     except NoResponse as error:
         print(f"dunehold: {control_address}: no answer ({error})", file=sys.stderr)
         return EXIT_FAILED
--- a/dunehold/operator_commands.py
+++ b/dunehold/operator_commands.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import re
 import secrets
 import sys
@@ -14,10 +13,11 @@
 from typing import Any
 
 from dunehold import report
+from dunehold.command_request import run_request
 from dunehold.protocol import codec, operators
 from dunehold.protocol.codec import BadMessage
 from dunehold.protocol.operators import Order
-from dunehold.transport.http import HttpClient, NoResponse, parse_address
+from dunehold.transport.http import NoResponse, parse_address
 from dunehold.types import OrderId
 
 # Actions of the operators' API on an existing order.
@@ -173,9 +173,10 @@
         if options.command in ACTION_BY_COMMAND:
             method, target = "POST", f"{target}/{ACTION_BY_COMMAND[options.command]}"
             body = codec.dump({} if options.seen is None else {"seen": options.seen})
-    client = HttpClient(*address)
     try:
-        status, data = asyncio.run(client.request(method, target, body, options.timeout))
+        status, data = run_request(
+            address, lambda client: client.request(method, target, body, options.timeout)
+        )
         row = codec.load_object(data)
     except (NoResponse, BadMessage) as error:
         # The order may have been accepted; with the same id it can be sent again safely.
--- a/dunehold/transport/http.py
+++ b/dunehold/transport/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -309,6 +310,14 @@
         while self._idle:
             self._drop(self._idle.pop())
 
+    async def close_and_wait(self) -> None:
+        """Closes the idle connections and returns once their sockets are closed."""
+        idle = list(self._idle)
+        self.close()
+        for connection in idle:
+            with contextlib.suppress(OSError):
+                await connection.writer.wait_closed()
+
     def _take(self) -> _PooledConnection | None:
         while self._idle:
             connection = self._idle.pop()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import signal
+import socket
 import subprocess
 import sys
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
@@ -158,3 +163,78 @@
     assert (
         completed.returncode == 2 and "awaits must not name the job itself" in completed.stderr
     )
+
+
+def http_response(status: int, body: bytes) -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+@contextmanager
+def server_that_answers(response: bytes | None) -> Iterator[tuple[str, threading.Event]]:
+    """Serve one connection, which stays open; yield the address, and when a request came.
+
+    Without a response the request is never answered.
+    """
+    requested, ended = threading.Event(), threading.Event()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        def serve() -> None:
+            connection, _ = server.accept()
+            with connection:
+                connection.recv(65536)
+                requested.set()
+                if response is not None:
+                    connection.sendall(response)
+                ended.wait(30.0)
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        try:
+            yield f"127.0.0.1:{server.getsockname()[1]}", requested
+        finally:
+            ended.set()
+            thread.join()
+
+
+CLIENT_COMMANDS = [("orders",), ("show", "out"), ("status", "job-000001"), ("served",)]
+
+
+@pytest.mark.parametrize("command", CLIENT_COMMANDS)
+@pytest.mark.parametrize("status", [409, 503])
+def test_a_refused_command_prints_its_error_and_nothing_about_its_connection(
+    command: tuple[str, ...], status: int
+) -> None:
+    with server_that_answers(http_response(status, b'{"error":"no"}')) as (address, _):
+        completed = run_cli(*command, "--server", address)
+    assert (completed.returncode, completed.stderr.count("\n")) == (1, 1), completed
+
+
+@pytest.mark.parametrize(
+    ("response", "stderr_lines"), [(http_response(200, b"{}"), 0), (b"garbage\r\n\r\n", 1)]
+)
+def test_an_answered_command_leaves_no_connection_open(
+    response: bytes, stderr_lines: int
+) -> None:
+    with server_that_answers(response) as (address, _):
+        completed = run_cli("orders", "--json", "--server", address)
+    assert completed.returncode == stderr_lines
+    assert completed.stderr.count("\n") == stderr_lines, completed
+
+
+def test_a_command_that_gets_no_answer_closes_its_connection() -> None:
+    with server_that_answers(None) as (address, _):
+        completed = run_cli("orders", "--timeout", "0.3", "--server", address)
+    assert (completed.returncode, completed.stderr.count("\n")) == (1, 1), completed
+
+
+@pytest.mark.parametrize("command", CLIENT_COMMANDS)
+def test_an_interrupted_command_says_so_in_one_line(command: tuple[str, ...]) -> None:
+    arguments = [sys.executable, "-m", "dunehold", *command]
+    with server_that_answers(None) as (address, requested):
+        process = subprocess.Popen(
+            [*arguments, "--server", address], cwd=ROOT, stderr=subprocess.PIPE, text=True
+        )
+        assert requested.wait(20.0)
+        process.send_signal(signal.SIGINT)
+        _, err = process.communicate(timeout=20.0)
+    assert (process.returncode, err.count("\n")) == (130, 1), err
