A worker forgets an attempt only with a token that refuses earlier starts

Cause: an action on a right that had lapsed, taken for impossible: "answered" stood for "can't arrive any more" (Ledger.on_direct_response, _may_forget). A call stays valid for as long as its token and session do, and the worker's memory of the attempt was the only thing that made it harmless.

Change: a term reserves a range of 1,024 tokens in the transaction that takes the lead, and more under the guards of the leader's and the token's key before it runs out. The leader has a token for each machine. An answer that makes a worker forget attempts carries a higher one if a start was called there under the present one, so the worker refuses every call from before, copies and unanswered ones alike. Not while a call is under way: it would be refused for nothing. Attempts whose call was never answered can be forgotten now too. Reports belong to the term if their token is in its range; a relay answers with the worker's own token if its proof shows it in the range. Attempts and rentals carry the term's first token as before, and stored forms stay: the token key names the last token, so that a version before takes the next higher one. An attempt of this term that comes back is logged as a warning and counted (revived_attempts).

--- a/dunehold/bookkeeping/hosts.py
+++ b/dunehold/bookkeeping/hosts.py
@@ -19,6 +19,7 @@
     TaskPhase,
     Team,
     Tier,
+    Token,
     TypeName,
     Zone,
 )
@@ -37,8 +38,8 @@
         reported: whether the worker has reported it.
         in_report_response: whether its start is in a report response that the worker may have
             received or may yet receive.
-        unanswered_starts: number of direct calls with its start that were not answered and may
-            still be carried out.
+        unanswered_starts: number of direct calls with its start that were not answered, and
+            may be carried out for the first time.
         image_cached: whether its image was on the host when the start was planned.
         running_at: when it was first reported as running.
         first_seen_late: whether that report came only after the worker had been silent.
@@ -100,10 +101,14 @@
         expired_session: newest session that is known to have ended; its reports are ignored.
         lease_renewed_at: latest time from which the worker lease can count; None if the worker
             was not heard from in this term.
-        token_confirmed: whether the worker has seen this leader's token, so that no older
+        token: the leader's token for this worker. Calls with a lower one are void once the
+            worker has seen it.
+        start_called: whether a direct call with that token has carried a start.
+        call_in_progress: whether a direct call with commands is under way.
+        token_confirmed: whether the worker has seen a token of this leader, so that no older
             leader can renew its lease.
-        session_known: whether the worker has reported under this leader's token in its present
-            session.
+        session_known: whether the worker has reported under a token of this leader in its
+            present session.
         fenced: whether all attempts that were on it are proved gone.
         up: whether the worker has reported and its lease is not known to have expired.
         boot_noted: whether its boot has been recorded as in time or late.
@@ -113,8 +118,8 @@
         deleting: whether its deletion has been requested from the cloud.
         reclaim_at: when the cloud takes back a spot machine, once that is announced.
         images: last use of each image that it has, and the image's size in GB.
-        heard_at: when the last report under this leader's token was accepted, including answers
-            to direct calls.
+        heard_at: when the last report under a token of this leader was accepted, including
+            answers to direct calls.
         is_reporting: whether the worker has sent a report in this session. Answers to direct
             calls do not count, as they do not renew its lease.
         reported_at: when the last such report came; in a session without any, when the session
@@ -142,6 +147,9 @@
     sequence: Sequence = Sequence(0)
     expired_session: Session = Session(0)
     lease_renewed_at: MonotonicTime | None = None
+    token: Token = Token(0)
+    start_called: bool = False
+    call_in_progress: bool = False
     token_confirmed: bool = False
     session_known: bool = False
     fenced: bool = False
--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -15,6 +15,7 @@
 
 from dunehold.bookkeeping.hosts import AttemptExit, Host, ReportOutcome, Run
 from dunehold.bookkeeping.records import JobRecord
+from dunehold.bookkeeping.term_tokens import TermTokens
 from dunehold.bookkeeping.unreconciled import UnreconciledHosts
 from dunehold.bookkeeping.view import View
 from dunehold.protocol.cloud import MachineType
@@ -47,7 +48,7 @@
 
 log = logging.getLogger(__name__)
 
-# An attempt number is a counter in this many lower bits, with the leader's token above them.
+# An attempt number is a counter in this many lower bits, with the term's first token above.
 ATTEMPT_BITS = 32
 # Two clocks may each be off by up to 0.05%; the factor allows for more than both together.
 WORKER_LEASE_DRIFT_FACTOR = 1.002
@@ -68,6 +69,8 @@
     """Hosts, attempts and team usage during one leader's term.
 
     Attributes:
+        token: the term's first fencing token, by which the term is known.
+        tokens: the reserved range of the term's tokens.
         took_over_at: start of the term; also the creation time of hosts found on record.
         lease_s: duration of a worker lease.
         max_proof_age_s: how long a node renews worker leases without a new proof that its view
@@ -84,6 +87,8 @@
         released: tasks that can no longer be on an unreconciled host, and may be scheduled.
         lost_without_reports: number of attempts that were lost with the worker lease of a host
             that had answered direct calls after its last report.
+        revived_attempts: number of attempts of this term that a worker reported although the
+            ledger had counted them out.
     """
 
     view: View
@@ -94,6 +99,7 @@
     lease_s: Duration
     max_proof_age_s: Duration
     log_restored_later: bool = False
+    tokens: TermTokens = field(init=False)
     hosts: dict[HostId, Host] = field(default_factory=dict)
     runs_by_task: dict[TaskId, list[Run]] = field(default_factory=dict)
     task_zones_by_job: dict[JobId, dict[TaskId, Zone]] = field(default_factory=dict)
@@ -107,12 +113,14 @@
     _zones: dict[JobId, dict[Zone, int]] = field(default_factory=dict)  # placed tasks by zone
     released: list[TaskId] = field(default_factory=list)
     lost_without_reports: int = 0
+    revived_attempts: int = 0
     # Hosts with an attempt that is to stop and whose start may not have arrived yet.
     _hosts_in_doubt: set[HostId] = field(default_factory=set)
     _attempts: int = 0  # attempt numbers handed out in this term
     _gang_attempts: dict[JobId, Attempt] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
+        self.tokens = TermTokens(self.token)
         self.update_relays(self.took_over_at)
         for record in self.view.hosts.values():
             host = self.add_host(
@@ -155,7 +163,7 @@
         """
         machine_type = self.types.get(type_name)
         host_capacity = machine_type.capacity if machine_type is not None else NO_RESOURCES
-        entry = Host(host, type_name, zone, spot, address, now, host_capacity)
+        entry = Host(host, type_name, zone, spot, address, now, host_capacity, token=self.token)
         self.hosts[host] = entry
         return entry
 
@@ -264,7 +272,7 @@
         expired session, or one that is not newer than the last one, was delayed in transit.
         """
         host = self.hosts.get(report.host)
-        if host is None or report.token != self.token:
+        if host is None or report.token not in self.tokens:
             return IGNORED
         if report.session <= host.expired_session:
             return IGNORED
@@ -363,8 +371,16 @@
     def _adopt(self, host: Host, task: TaskReport, now: MonotonicTime) -> Run:
         """Add an attempt that this ledger does not have, as another leader started it.
 
+        An attempt of this term that was counted out is added as well: it occupies its host.
         If the job's spec is not known, the attempt counts as one that uses no resources.
         """
+        if task.id.attempt >> ATTEMPT_BITS == self.token:
+            self.revived_attempts += 1
+            log.warning(
+                "host %s reports attempt %s of this term, which had been counted out",
+                host.id,
+                task.id,
+            )
         record = self.view.jobs.get(task.id.task.job)
         spec = record.spec if record is not None else None
         team = spec.team if spec is not None else Team("")
@@ -520,8 +536,8 @@
     def _next_attempt(self, spec: JobSpec) -> Attempt:
         """Return an attempt number that no leader has used before.
 
-        The upper bits hold the leader's token. Tasks of a gang that start together share their
-        attempt number, by which they find one another.
+        The upper bits hold the term's first token. Tasks of a gang that start together share
+        their attempt number, by which they find one another.
         """
         if spec.kind is JobKind.GANG and spec.id in self.task_zones_by_job:
             shared = self._gang_attempts.get(spec.id)
@@ -582,14 +598,13 @@
     def commands(self, host: Host, direct: bool, starts: bool) -> list[Command]:
         """Return the commands for the worker, for a direct call or a report's response.
 
-        Without ``starts``, only starts that may have been sent before are included. The starts
-        returned count as sent. Those of cancelled jobs are never included.
+        They must be sent with the host's token as it is after this call. Without ``starts``,
+        only starts that may have been sent before are included. The starts returned count as
+        sent. Those of cancelled jobs are never included.
         """
-        out: list[Command] = []
+        out: list[Command] = [] if direct else self._forget_exited(host)
         for run in list(host.runs.values()):
             if run.phase is TaskPhase.EXITED:
-                if self._may_forget(run) and not direct:
-                    out.append(Forget(run.id))
                 continue
             if self._unwanted(run):
                 self.stop(run, Duration(0.0))
@@ -604,12 +619,40 @@
                 out.append(Start(run.id))
                 if direct:
                     run.unanswered_starts += 1
+                    host.start_called = True
                 else:
                     run.in_report_response = True
             if run.stop_grace_s is not None:
                 out.append(Stop(run.id, run.stop_grace_s))
         return out
 
+    def _forget_exited(self, host: Host) -> list[Command]:
+        """Return the commands to forget attempts that have exited, if they are safe now.
+
+        Once the worker has forgotten an attempt, only the token keeps it from carrying out a
+        delayed start, or a copy of one that it carried out before.
+        """
+        forgotten: list[Command] = [
+            Forget(run.id)
+            for run in host.runs.values()
+            if run.phase is TaskPhase.EXITED and self._may_forget(run)
+        ]
+        return forgotten if forgotten and self._void_earlier_calls(host) else []
+
+    def _void_earlier_calls(self, host: Host) -> bool:
+        """Give the host a token with which no direct call to it has carried a start.
+
+        A worker that sees the token refuses all earlier calls. Return False if that is not
+        possible now: a call in progress would be refused, or no token is left.
+        """
+        if not host.start_called:
+            return True
+        following = None if host.call_in_progress else self.tokens.next_after(host.token)
+        if following is None:
+            return False
+        host.token, host.start_called = following, False
+        return True
+
     def has_urgent_commands(self, host: Host) -> bool:
         """Whether a command should not wait for the worker's next report."""
         return any(
@@ -622,7 +665,10 @@
         )
 
     def on_direct_response(self, host: Host, starts: Iterable[AttemptId]) -> None:
-        """Note that a direct call was answered, so that its starts can't arrive later."""
+        """Note that a direct call with these starts was answered.
+
+        Copies of the call may still arrive.
+        """
         for attempt in starts:
             run = host.runs.get(attempt)
             if run is not None and run.unanswered_starts:
@@ -644,10 +690,7 @@
         return len(others) > 1 and run.id.attempt != min(r.id.attempt for r in others)
 
     def _may_forget(self, run: Run) -> bool:
-        """Whether the worker may be told to forget an attempt that has exited."""
-        # Once the worker has forgotten the attempt, a delayed start would run it again.
-        if run.unanswered_starts:
-            return False
+        """Whether nobody needs the worker's report of an exited attempt any more."""
         if run.exit_reason is not ExitReason.DONE or run.service:
             return True
         # Until the completion is durable, the result is only in the worker's report.
--- a/dunehold/bookkeeping/view.py
+++ b/dunehold/bookkeeping/view.py
@@ -56,7 +56,8 @@
         loaded: whether the view holds a listing; False before the first one, and when a new
             listing is needed.
         leader: the current leader, if any.
-        token: the newest fencing token; ``token_version`` is the version of its key.
+        token: the newest fencing token, the last that the newest term has reserved;
+            ``token_version`` is the version of its key.
         jobs: all jobs, including those that are over.
         active: the jobs that are not over.
         hosts: all host records; ``host_pages`` has the same by page.
--- a/dunehold/coordination/election/relay.py
+++ b/dunehold/coordination/election/relay.py
@@ -86,7 +86,7 @@
         return MonotonicTime(asyncio.get_running_loop().time())
 
     def answer(self, report: Report) -> bytes | None:
-        """Returns the response to a report: the leader's token and the stops that are due.
+        """Returns the response to a report: a token of the term and the stops that are due.
 
         Returns None if this node must not relay; the worker then has to try another node.
         """
@@ -102,12 +102,13 @@
             or relay is None
             or relay.token != known.token
             or not self._cut_off
-            or report.token > known.token
+            or report.token > self.view.token
             or not self.lease_renewal.allowed(relaying=True)
             or not self._may_renew_lease_of(report, known)
         ):
             return None
-        return workers.encode_reply(known.token, self._stops(report))
+        # The leader may have raised the worker's token within the range of its term.
+        return workers.encode_reply(max(known.token, report.token), self._stops(report))
 
     def _may_renew_lease_of(self, report: Report, leader: LeaderRecord) -> bool:
         """Returns False if the worker's session must end because of a start in doubt."""
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -13,6 +13,7 @@
 
 from dunehold.bookkeeping import records
 from dunehold.bookkeeping.ledger import Ledger
+from dunehold.bookkeeping.term_tokens import last_reserved
 from dunehold.bookkeeping.view import View
 from dunehold.coordination.election.connectivity import PEER_TIMEOUT_S, Connectivity
 from dunehold.coordination.election.lease_renewal import CLOCK_DRIFT_FACTOR, LeaseRenewal
@@ -565,7 +566,7 @@
                 records.LEADER_KEY: records.encode_leader(
                     self.settings.node, self.incarnation, token
                 ),
-                records.TOKEN_KEY: token,
+                records.TOKEN_KEY: last_reserved(token),
             },
             lease=lease,
             leased_key=records.LEADER_KEY,
--- a/dunehold/coordination/persistence/recorder.py
+++ b/dunehold/coordination/persistence/recorder.py
@@ -93,6 +93,7 @@
         new_broken: broken jobs to be written, or None.
         new_zones: zone records to be written, or None.
         new_successor: zone that should lead next, to be written, or None.
+        new_last_token: up to which token this term is to reserve more, or None.
         order_progress: progress of orders to be written; None if the order and its progress
             are to be deleted.
     """
@@ -117,6 +118,7 @@
     new_broken: set[JobId] | None = None
     new_zones: dict[Zone, ZoneRecord] | None = None
     new_successor: Zone | None = None
+    new_last_token: Token | None = None
     order_progress: dict[OrderId, OrderProgress | None] = field(default_factory=dict)
     _disruptions: Any = None  # encoded value to be written
     _disruptions_requested: int = 0  # sequence number of the value above
@@ -227,6 +229,15 @@
         self.new_successor = zone
         await self._wait_until(lambda: self.new_successor is None)
 
+    def reserve_tokens(self, last: Token) -> None:
+        """Schedule the reservation of this term's tokens up to ``last``.
+
+        The ledger uses them only once that is durable, so that no later term has them too.
+        """
+        if self.new_last_token is None:
+            self.new_last_token = last
+            self._wake.set()
+
     def end_rental(self, rental: RentalId) -> None:
         """Schedule the deletion of a rental's record."""
         self.ended_rentals[rental] = None
@@ -305,6 +316,7 @@
             or self._disruptions_written < self._disruptions_requested
             or self.order_progress
             or self.new_successor is not None
+            or self.new_last_token is not None
             or self.start_log_cleaner.pending(MonotonicTime(asyncio.get_running_loop().time()))
         )
 
@@ -345,7 +357,13 @@
             txn.puts[records.DISRUPTIONS] = self._disruptions
         successor = self.new_successor
         if successor is not None and txn.size < limit:
-            txn.puts[records.SUCCESSOR] = records.encode_successor(successor, self.token)
+            txn.puts[records.SUCCESSOR] = records.encode_successor(
+                successor, self.ledger.tokens.last
+            )
+        last_token = self.new_last_token
+        if last_token is not None and txn.size < limit:
+            txn.puts[records.TOKEN_KEY] = last_token
+            txn.guards[records.TOKEN_KEY] = self.view.token_version
         order_changes = self._order_changes(txn, limit)
         jobs = []
         # Jobs with dependents go first: only this write holds up their dependents.
@@ -395,6 +413,9 @@
             self._disruptions_written = requested
         if records.SUCCESSOR in txn.puts:
             self.new_successor = None
+        if last_token is not None and records.TOKEN_KEY in txn.puts:
+            self.ledger.tokens.last = last_token
+            self.new_last_token = None
         for order, progress in order_changes.items():
             if self.order_progress[order] is progress:
                 del self.order_progress[order]
--- a/dunehold/coordination/term/delivery.py
+++ b/dunehold/coordination/term/delivery.py
@@ -20,7 +20,7 @@
 from dunehold.protocol.workers import Report
 from dunehold.settings import Settings
 from dunehold.transport.http import Client, Connect, NoResponse
-from dunehold.types import AttemptId, HostId, Token
+from dunehold.types import AttemptId, HostId
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +42,6 @@
 
     settings: Settings
     ledger: Ledger
-    token: Token
     connect: Connect
     # Whether the leader lease is known to hold. No command is sent without it.
     may_start: Callable[[], bool]
@@ -91,9 +90,10 @@
         if not commands:
             return False
         starts = [c.id for c in commands if isinstance(c, workers.Start)]
+        host.call_in_progress = True
         try:
             done, report = await workers.send_commands(
-                self._client(host), self.token, host.session, commands, TIMEOUT_S
+                self._client(host), host.token, host.session, commands, TIMEOUT_S
             )
         except (NoResponse, BadMessage) as error:
             # The commands may still be carried out minutes later, so the ledger keeps them.
@@ -106,6 +106,8 @@
             )
             self.drop(host.id)
             return False
+        finally:
+            host.call_in_progress = False
         self.on_answer(host, report, starts)
         return done
 
@@ -136,7 +138,7 @@
             if status.host != host.id:
                 return
             _, report = await workers.send_commands(
-                client, self.token, status.session, [], TIMEOUT_S
+                client, host.token, status.session, [], TIMEOUT_S
             )
             self.on_answer(host, report, [])
         except (NoResponse, BadMessage) as error:
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -91,7 +91,7 @@
 
 @dataclass(slots=True)
 class Leader:
-    """The leader during one term, identified by its fencing token.
+    """The leader during one term, identified by the first fencing token of the term.
 
     Times of type ``MonotonicTime`` are seconds on the event loop's clock. A task of the term
     that fails, or that finds the leader key lost, ends the term through ``deposed``.
@@ -186,7 +186,6 @@
         self.delivery = Delivery(
             self.settings,
             self.ledger,
-            self.token,
             self.connect,
             self.may_start,
             self.spawn,
@@ -406,7 +405,7 @@
         report shows that a later leader exists.
         """
         now = self.now()
-        if report.token > self.token:
+        if report.token > self.ledger.tokens.last:
             self._handle_higher_token(report.host, report.token)
             return None
         if report.host in self.ledger.deleted_hosts:
@@ -446,7 +445,7 @@
             if outcome.changed:
                 self.schedule()
             commands = self.ledger.commands(host, direct=False, starts=self.may_start())
-        return workers.encode_reply(self.token, commands)
+        return workers.encode_reply(host.token, commands)
 
     def _may_renew_lease_of(self, host: Host) -> bool:
         """Returns False if the host's session must end because of a start that is in doubt.
@@ -474,10 +473,11 @@
         """
         if not self.may_start():
             log.info(
-                "host %s has seen token %d, above ours (%d); stepping down",
+                "host %s has seen token %d, above ours (%d to %d); stepping down",
                 host,
                 token,
                 self.token,
+                self.ledger.tokens.last,
             )
             self.deposed()
         elif self.now() - self._unknown_token_logged_at > UNKNOWN_TOKEN_LOG_INTERVAL_S:
@@ -759,7 +759,7 @@
         if self.ledger.hosts.get(host.id) is not host or report.host != host.id:
             return
         self.ledger.on_direct_response(host, starts)
-        if report.token > self.token:
+        if report.token > self.ledger.tokens.last:
             self._handle_higher_token(host.id, report.token)
             return
         outcome = self.ledger.ingest(report, self.now(), direct=True)
@@ -813,6 +813,7 @@
                     self.deposed()
                     return
                 now = self.now()
+            self._reserve_tokens()
             self.ledger.update_relays(now)
             if self.may_start():  # without the lease, this node may be the one cut off
                 for zone in self.zones.evaluate(now, self.receiving_since):
@@ -849,6 +850,12 @@
                 logged_at = now
                 self._log_fleet()
 
+    def _reserve_tokens(self) -> None:
+        """Has more fencing tokens reserved for this term before they are needed."""
+        wanted = self.ledger.tokens.wanted_last()
+        if wanted is not None:
+            self.recorder.reserve_tokens(wanted)
+
     async def _hand_over_to(self, zone: Zone) -> None:
         """Records that a node of ``zone`` should lead next, and steps down.
 
--- a/tests/test_repeated_requests.py
+++ b/tests/test_repeated_requests.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 import orjson
+import pytest
 
 from dunehold.emulator.model.copies import CopyRule
 from tests.test_rules import BUSY_S, cuts, machine_failures, simulate
@@ -146,6 +147,14 @@
 ]
 
 
+@pytest.mark.parametrize("seed", range(600, 603))
+@pytest.mark.parametrize("faults", COPIED_COMMANDS)
+def test_a_copy_of_an_answered_start_runs_no_task_again(faults: Faults, seed: int) -> None:
+    world = simulate(seed, faults, nodes=(3, 5)[seed % 2])
+    assert world.network.copies_delivered[COMMANDS_PATH] > 20
+    assert world.checker.starts > 20
+
+
 def main(first: int, count: int) -> int:
     """Play each trouble with ``count`` seeds, print the broken worlds, and return the code."""
     broken: Counter[str] = Counter()
--- a/tests/test_zone_loss.py
+++ b/tests/test_zone_loss.py
@@ -360,6 +360,9 @@
     for process in world.nodes[::2]:  # the nodes of the larger zone
         world.spawn(process.restart(6.0))
     await asyncio.sleep(20.0)
+    for kind in world.cloud.cloud.capacity:
+        if kind.zone == smaller:
+            world.cloud.cloud.capacity[kind] = 0  # it stays the smaller one
     world.spawn(world.network.cut_for(larger, smaller, "hold", 45.0))
     await asyncio.sleep(15.0)
     began: set[str] = set()
