Emulator: copies of answered requests, as a fault of scenarios and dunehold fault

Change: RequestCopyFault copies answered requests by path prefix, share and delay, at the servers of machines, cloud and state service, at the senders of reports and of users' requests; requests between controllers are reads and are not copied. deploy/emulator/copies.toml plays them on real processes while machines fail their tasks, hang and the leader comes back within a second.

Also what the records lacked: lines for attempts forgotten, tokens raised and direct calls (debug), for a start that is stopped because its job is over or an older attempt is there, for attempts that came back, and the revision that a new leader has read.

--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -607,6 +607,13 @@
             if run.phase is TaskPhase.EXITED:
                 continue
             if self._unwanted(run):
+                if run.stop_grace_s is None:
+                    log.info(
+                        "stopping %s on host %s: its job or task is over, or an older attempt "
+                        "of the task occupies a host",
+                        run.id,
+                        host.id,
+                    )
                 self.stop(run, Duration(0.0))
                 if run.id not in host.runs:
                     continue  # withdrawn, since its start was never sent
@@ -637,7 +644,12 @@
             for run in host.runs.values()
             if run.phase is TaskPhase.EXITED and self._may_forget(run)
         ]
-        return forgotten if forgotten and self._void_earlier_calls(host) else []
+        if not forgotten or not self._void_earlier_calls(host):
+            return []
+        if log.isEnabledFor(logging.DEBUG):
+            names = ", ".join(str(command.id) for command in forgotten)
+            log.debug("host %s: to forget %s, token %d", host.id, names, host.token)
+        return forgotten
 
     def _void_earlier_calls(self, host: Host) -> bool:
         """Give the host a token with which no direct call to it has carried a start.
@@ -651,6 +663,7 @@
         if following is None:
             return False
         host.token, host.start_called = following, False
+        log.debug("host %s: token raised to %d; earlier calls are void", host.id, following)
         return True
 
     def has_urgent_commands(self, host: Host) -> bool:
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -332,6 +332,8 @@
             if self.leader is not None:
                 log.info("work done: %s", self.served.summary_line())
                 log.info("late starts in this term: %s", self.leader.late_starts.summary())
+                if revived := self.leader.ledger.revived_attempts:
+                    log.warning("attempts that came back after they were over: %d", revived)
                 if lost := self.leader.ledger.lost_without_reports:
                     log.info(
                         "attempts lost on machines that only direct calls reached: %d", lost
@@ -640,9 +642,11 @@
             float(min(2**self._silent_terms, MAX_TIMEOUT_FACTOR)),
         )
         log.info(
-            "node %s leads with token %d: %d active jobs, %d machines on record",
+            "node %s leads with token %d: revision %d read, %d active jobs, "
+            "%d machines on record",
             settings.node,
             token,
+            self.view.applied,
             len(self.view.active),
             len(self.view.hosts),
         )
--- a/dunehold/coordination/term/delivery.py
+++ b/dunehold/coordination/term/delivery.py
@@ -90,6 +90,14 @@
         if not commands:
             return False
         starts = [c.id for c in commands if isinstance(c, workers.Start)]
+        log.debug(
+            "host %s: direct call with %d commands, %d of them starts, token %d, session %d",
+            host.id,
+            len(commands),
+            len(starts),
+            host.token,
+            host.session,
+        )
         host.call_in_progress = True
         try:
             done, report = await workers.send_commands(
--- a/dunehold/emulator/faults.py
+++ b/dunehold/emulator/faults.py
@@ -130,6 +130,22 @@
     hosts: list[str] = []
 
 
+class RequestCopyFault(Fault, frozen=True, kw_only=True, tag="copies"):
+    """Delivers answered requests once more, after ``min_s`` to ``max_s``.
+
+    It applies to requests whose path starts with ``path``, whoever sends them: ``/orders`` and
+    ``/status`` are sent to workers, ``/v1/report`` and ``/v1/jobs`` to controllers, ``/hosts``
+    and ``/flavors`` to the cloud, ``/txn``, ``/leases``, ``/store`` and ``/changes`` to the
+    state service. Requests between controllers are not copied. ``for_s`` limits for how long
+    requests are copied, not when the copies arrive.
+    """
+
+    path: str = "/orders"
+    share: float = 1.0  # of these requests
+    min_s: float = 0.3
+    max_s: float = 9.0
+
+
 class ConnectionFloodFault(Fault, frozen=True, kw_only=True, tag="flood"):
     """Opens connections to a controller's user port and holds them without using them.
 
@@ -147,6 +163,7 @@
     | CloudFault
     | ControllerFault
     | CommandDelayFault
+    | RequestCopyFault
     | ConnectionFloodFault
 )
 
--- a/dunehold/emulator/measure.py
+++ b/dunehold/emulator/measure.py
@@ -20,6 +20,7 @@
 from dunehold.emulator.agents.external_services import WorkerAgent
 from dunehold.emulator.agents.network_gate import NetworkGate
 from dunehold.emulator.history import History
+from dunehold.emulator.model.copies import RequestCopies
 from dunehold.emulator.model.jobs import Jobs
 from dunehold.emulator.model.worker import Machine, Worker
 from dunehold.emulator.scenario import DEFAULT_SCENARIO, Scenario, parse
@@ -104,8 +105,8 @@
         return Response(200, answer)
 
     server = await HttpServer(serve, 1 << 16).start(*addresses.node(0))
-    transport = SocketTransport(addresses, NetworkGate())
     rng = default_rng(1)
+    transport = SocketTransport(addresses, NetworkGate(), RequestCopies(rng))
     jobs, history = Jobs(rng), History(time.monotonic, None, False)
     agents = []
     for number in range(1, workers + 1):
--- a/dunehold/emulator/model/copies.py
+++ b/dunehold/emulator/model/copies.py
@@ -1,15 +1,18 @@
 """Copies of answered requests, which a network delivers once more, at any later time.
 
-Nobody waits for the answer to a copy. The model only decides which requests are copied and when
-the copies arrive; delivering them is up to the transport.
+Nobody waits for the answer to a copy.
 """
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from dunehold.emulator.model.base import Randomness
+from dunehold.transport.http import NoResponse
 
 
 class CopyRule(NamedTuple):
@@ -23,12 +26,30 @@
 
 @dataclass(slots=True)
 class RequestCopies:
-    """Draws the delays of copies; of the rules in force, the first that fits applies."""
+    """Delivers copies; of the rules in force, the first that fits a request applies."""
 
     rng: Randomness
     rules: list[CopyRule] = field(default_factory=list)
-
-    def draw_delay_s(self, path: str) -> float | None:
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def answered(self, path: str, deliver: Callable[[], Awaitable[object]]) -> None:
+        """Notes that a request was answered; ``deliver`` is called when a copy of it arrives.
+
+        What ``deliver`` returns is ignored, as are connections that fail.
+        """
+        delay_s = self._draw_delay_s(path)
+        if delay_s is not None:
+            task = asyncio.get_running_loop().create_task(self._deliver(delay_s, deliver))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    @staticmethod
+    async def _deliver(delay_s: float, deliver: Callable[[], Awaitable[object]]) -> None:
+        await asyncio.sleep(delay_s)
+        with contextlib.suppress(OSError, NoResponse):
+            await deliver()
+
+    def _draw_delay_s(self, path: str) -> float | None:
         """Returns after how many seconds a copy of a request arrives; None without a copy."""
         for rule in self.rules:
             if path.startswith(rule.path):
--- a/dunehold/emulator/scenario.py
+++ b/dunehold/emulator/scenario.py
@@ -8,7 +8,12 @@
 
 import msgspec
 
-from dunehold.emulator.faults import AnyFault, CommandDelayFault, PartitionFault
+from dunehold.emulator.faults import (
+    AnyFault,
+    CommandDelayFault,
+    PartitionFault,
+    RequestCopyFault,
+)
 
 MAX_CONTROLLERS = 15  # AddressPlan has addresses for this many
 
@@ -235,6 +240,10 @@
                 return f"a, b: {side} is not a host, zone or group"
     if isinstance(fault, CommandDelayFault) and fault.delay_s <= 0:
         return "delay_s: must be over 0"
+    if isinstance(fault, RequestCopyFault) and fault.max_s < fault.min_s:
+        return "max_s: must not be under min_s"
+    if isinstance(fault, RequestCopyFault) and not 0 < fault.share <= 1:
+        return "share: must be over 0 and at most 1"
     if fault.every_s and not fault.until_s:
         return "until_s: must be set if every_s is set"
     return None
--- a/dunehold/emulator/serve/cluster.py
+++ b/dunehold/emulator/serve/cluster.py
@@ -22,6 +22,7 @@
 from dunehold.emulator.history import History
 from dunehold.emulator.model.balancer import Balancer
 from dunehold.emulator.model.cloud import BootProfile, Cloud, HostKind, MachineType
+from dunehold.emulator.model.copies import RequestCopies
 from dunehold.emulator.model.jobs import Jobs
 from dunehold.emulator.scenario import Scenario
 from dunehold.emulator.serve import config_files
@@ -66,6 +67,7 @@
     event_listeners: list[Callable[[Any], None]] = field(default_factory=list)
     addresses: AddressPlan = field(init=False)
     gate: NetworkGate = field(default_factory=NetworkGate)
+    copies: RequestCopies = field(init=False)  # of all requests but the state service's
     history: History = field(init=False)
     rng: Generator = field(init=False)
     jobs: Jobs = field(init=False)
@@ -100,7 +102,8 @@
         self.jobs = Jobs(self.rng)
         for name, groups in config_files.partition_groups(scenario).items():
             self.gate.partitions.groups[name] = tuple(groups)
-        self.transport = SocketTransport(self.addresses, self.gate)
+        self.copies = RequestCopies(self.rng)
+        self.transport = SocketTransport(self.addresses, self.gate, self.copies)
         self.cloud = self._create_cloud()
         nodes = {name: self.addresses.node(n) for n, name in enumerate(self.addresses.nodes)}
         self.load_balancer = LoadBalancerServer(
@@ -160,7 +163,9 @@
         host, _, port = machine.address.rpartition(":")
         self.gate.partitions.groups[machine.name] = (machine.zone, "@machines")
         self.transport.machine_addresses[machine.name] = host
-        server = create_host_server(machine.name, agent.handle, self.addresses, self.gate)
+        server = create_host_server(
+            machine.name, agent.handle, self.addresses, self.gate, self.copies
+        )
         self.machine_servers[machine.name] = server
         self.spawn(self._open_server(server, Endpoint(host, int(port))))
 
@@ -225,7 +230,7 @@
         """
         await self._start_state()
         self.cloud_server = create_host_server(
-            CLOUD, self.cloud.handle, self.addresses, self.gate
+            CLOUD, self.cloud.handle, self.addresses, self.gate, self.copies
         )
         self._servers.append(self.cloud_server)
         await self.cloud_server.open(self.addresses.cloud)
@@ -357,4 +362,5 @@
                 await asyncio.gather(*list(self._tasks), return_exceptions=True)
         for server in (*self._servers, *self.machine_servers.values()):
             server.close()
+        self.transport.close()
         self._history_file.close()
--- a/dunehold/emulator/serve/fault_injector.py
+++ b/dunehold/emulator/serve/fault_injector.py
@@ -21,10 +21,12 @@
     ControllerFault,
     MachineFault,
     PartitionFault,
+    RequestCopyFault,
     StateFault,
 )
 from dunehold.emulator.history import Event
 from dunehold.emulator.model.cloud import BootProfile
+from dunehold.emulator.model.copies import CopyRule
 from dunehold.emulator.model.partitions import PartitionMode
 from dunehold.emulator.serve.addresses import Endpoint
 from dunehold.emulator.serve.cluster import Cluster
@@ -108,6 +110,7 @@
             CloudFault: self._inject_cloud_fault,
             ControllerFault: self._inject_controller_fault,
             CommandDelayFault: self._inject_command_delay,
+            RequestCopyFault: self._inject_request_copies,
             ConnectionFloodFault: self._inject_connection_flood,
         }
         targets = await handlers[type(fault)](fault)
@@ -174,6 +177,18 @@
             self.cluster.machine_servers[name].delays.add("/orders", fault.delay_s, fault.count)
         return names
 
+    async def _inject_request_copies(self, fault: RequestCopyFault) -> list[str]:
+        rule = CopyRule(fault.path, fault.share, fault.min_s, fault.max_s)
+        self.cluster.copies.rules.append(rule)
+        await self.cluster.control_state_service({"do": "copy", "rule": list(rule)})
+
+        async def end_copies() -> None:
+            self.cluster.copies.rules.remove(rule)
+            await self.cluster.control_state_service({"do": "copy_over", "rule": list(rule)})
+
+        self._undo_after(fault.for_s, end_copies)
+        return [fault.path]
+
     # -- network, state service, cloud, controllers --------------------------------------
 
     async def _inject_partition(self, fault: PartitionFault) -> list[str]:
--- a/dunehold/emulator/serve/runner.py
+++ b/dunehold/emulator/serve/runner.py
@@ -16,6 +16,7 @@
 from dunehold.emulator.check import Checker, Summary, summarize
 from dunehold.emulator.faults import AnyFault
 from dunehold.emulator.history import Event
+from dunehold.emulator.model.copies import RequestCopies
 from dunehold.emulator.objectives import ObjectiveResult, ObjectiveTracker
 from dunehold.emulator.scenario import Scenario, ScenarioError
 from dunehold.emulator.serve.addresses import Endpoint
@@ -43,11 +44,19 @@
     """
 
     endpoint: Endpoint
+    copies: RequestCopies
 
     async def request_with_retry_after(
         self, method: str, path: str, body: bytes | None, timeout_s: float
     ) -> tuple[int, bytes, float]:
         """Returns status, body and ``Retry-After`` in seconds; raises NoResponse."""
+        answer = await self._send(method, path, body, timeout_s)
+        self.copies.answered(path, lambda: self._send(method, path, body, timeout_s))
+        return answer
+
+    async def _send(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> tuple[int, bytes, float]:
         client = HttpClient(self.endpoint.host, self.endpoint.port, 1)
         try:
             return await client.request_with_retry_after(method, path, body, timeout_s)
@@ -142,7 +151,7 @@
             )
         self.cluster = Cluster(scenario, self.directory, self.net, [self._on_event])
         self.fault_injector = FaultInjector(self.cluster)
-        client = LoadBalancerClient(self.cluster.addresses.load_balancer)
+        client = LoadBalancerClient(self.cluster.addresses.load_balancer, self.cluster.copies)
         self.users = Users(client, self.cluster.history, self.cluster.rng)
         self.users.on_submitted, self.users.on_polled = (
             self._record_submission,
--- a/dunehold/emulator/serve/sockets.py
+++ b/dunehold/emulator/serve/sockets.py
@@ -9,6 +9,7 @@
 
 from dunehold.emulator.agents.network_gate import NetworkGate
 from dunehold.emulator.model.base import Reply
+from dunehold.emulator.model.copies import RequestCopies
 from dunehold.emulator.model.partitions import PartitionMode
 from dunehold.emulator.serve.addresses import AddressPlan, Endpoint
 from dunehold.transport.http import HttpClient, HttpServer, NoResponse, Request, Response
@@ -111,13 +112,22 @@
 
 
 def create_host_server(
-    name: str, handler: HostHandler, addresses: AddressPlan, gate: NetworkGate
+    name: str,
+    handler: HostHandler,
+    addresses: AddressPlan,
+    gate: NetworkGate,
+    copies: RequestCopies,
 ) -> HostServer:
     """Creates the server of the host ``name``, which is not listening yet.
 
     The sender of a request is identified by its address.
     """
 
+    async def handle_copy(request: Request, target: str, source: str) -> None:
+        await gate.wait_until_open(source, name)
+        if not server.powered_off:
+            await handler(request.method, target, request.body, source)
+
     async def serve(request: Request) -> Response:
         source = addresses.host_name(request.peer)
         await gate.wait_until_open(source, name)
@@ -131,6 +141,7 @@
             await asyncio.sleep(POWERED_OFF_SILENCE_S)
             raise ConnectionResetError
         status, body = await handler(request.method, target, request.body, source)
+        copies.answered(target, lambda: handle_copy(request, target, source))
         await gate.wait_until_open(name, source)
         return Response(status, body)
 
@@ -144,6 +155,7 @@
 
     addresses: AddressPlan
     gate: NetworkGate
+    copies: RequestCopies
     machine_addresses: dict[str, str] = field(default_factory=dict)  # machine -> IP address
     # Machine and controller -> client.
     _clients: dict[tuple[str, str], HttpClient] = field(default_factory=dict)
@@ -179,6 +191,9 @@
                 await self.gate.wait_until_open(target, source)
         except (OSError, TimeoutError) as error:
             raise NoResponse(str(error)) from None
+        self.copies.answered(
+            path, lambda: self._send_delayed(client, source, target, method, path, body)
+        )
         return response
 
     async def _send_delayed(
@@ -204,6 +219,12 @@
             )
         return self._clients[key]
 
+    def close(self) -> None:
+        """Closes the connections of all machines."""
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
+
     def close_clients(self, source: str) -> None:
         """Closes the connections of a machine that is gone."""
         for key in [key for key in self._clients if key[0] == source]:
--- a/dunehold/emulator/serve/state.py
+++ b/dunehold/emulator/serve/state.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import sys
 from dataclasses import dataclass, field
@@ -22,6 +23,7 @@
 from dunehold.emulator.agents.network_gate import NetworkGate
 from dunehold.emulator.disk_storage import DiskStorage
 from dunehold.emulator.model.base import Malformed, Reply, bad_request, decode_body, reply
+from dunehold.emulator.model.copies import CopyRule, RequestCopies
 from dunehold.emulator.model.partitions import PartitionMode
 from dunehold.emulator.model.store import Limits, Row, Store
 from dunehold.emulator.serve.addresses import STATE, AddressPlan
@@ -70,6 +72,7 @@
 
     settings: StateSettings
     gate: NetworkGate = field(default_factory=NetworkGate)
+    copies: RequestCopies = field(default_factory=lambda: RequestCopies(random.Random(0)))
     lag_s: float = 0.0  # delay of each request
     storage: CrashingStorage = field(init=False)
     agent: StateAgent = field(init=False)
@@ -91,7 +94,7 @@
         """Restores the data and serves until the process ends; raises PortTaken."""
         addresses = AddressPlan(self.settings.net, tuple(self.settings.nodes))
         self.storage.inner.restore(self.agent.store, asyncio.get_running_loop().time())
-        self.server = create_host_server(STATE, self._handle, addresses, self.gate)
+        self.server = create_host_server(STATE, self._handle, addresses, self.gate, self.copies)
         await self.server.open(addresses.state)
         control = HttpServer(self._handle_control, 64)
         await control.start(addresses.state_control.host, addresses.state_control.port)
@@ -143,6 +146,10 @@
                 self.lag_s = float(row["seconds"])
             case "delay":
                 self.server.delays.add(row["path"], float(row["seconds"]), int(row["count"]))
+            case "copy":
+                self.copies.rules.append(CopyRule(*row["rule"]))
+            case "copy_over":
+                self.copies.rules.remove(CopyRule(*row["rule"]))
             case "die_after_write":
                 self.storage.commits_until_crash = 1
             case other:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -101,6 +101,22 @@
     assert "not_done" in out
 
 
+def test_copies_of_answered_requests_break_no_rule(net: int, tmp_path: Path) -> None:
+    scenario = ROOT / "deploy" / "emulator" / "copies.toml"
+    code, out, err = finish(
+        start_dunehold("emulate", scenario, "--net", net, "--directory", tmp_path)
+    )
+    assert (code, err) == (0, ""), out + err
+    assert "every job has exactly one final answer; no rule broken" in out
+    rows = [
+        orjson.loads(line) for line in (tmp_path / "faults.jsonl").read_bytes().splitlines()
+    ]
+    copied = {row["path"] for row in rows if row["kind"] == "copies"}
+    assert copied == {"/orders", "/v1/", "/hosts", "/txn", "/leases"}
+    jobs, done = re.search(r"jobs: (\d+) made, \d+ accepted, (\d+) done", out).groups()  # type: ignore[union-attr]
+    assert int(done) > 0.6 * int(jobs) > 5
+
+
 def test_operators_orders_through_the_command_line(net: int, tmp_path: Path) -> None:
     """Any controller takes an order, and it outlives a leader that is killed."""
     scenario = ROOT / "deploy" / "emulator" / "replace.toml"
@@ -197,6 +213,8 @@
         (b"[[faults]]\nkind = 'machines'\ndo = 'explode'", "faults[0].do"),
         (b"[[faults]]\nkind = 'state'\ndo = 'refuse'\nnode = 'n9'", "faults[0].node"),
         (b"[[faults]]\nkind = 'cut'\na = 'north'\nb = 'west'", "faults[0].a"),
+        (b"[[faults]]\nkind = 'copies'\nmax_s = 0.1", "faults[0].max_s"),
+        (b"[[faults]]\nkind = 'copies'\nshare = 1.5", "faults[0].share"),
         (b"[[faults]]\nkind = 'cut'\na = 'north'\nb = 'south'\nevery_s = 2.0", "until_s"),
         (b"name = = 'x'", "line 1"),
     ],
--- a/tests/test_repeated_requests.py
+++ b/tests/test_repeated_requests.py
@@ -52,8 +52,8 @@
 
     async def deliver_copy(self, world: World) -> None:
         """Deliver the call once more."""
-        await world.network._deliver_copy(
-            self.source, self.machine, "POST", COMMANDS_PATH, self.body, 0.0
+        await world.network.deliver_copy(
+            self.source, self.machine, "POST", COMMANDS_PATH, self.body
         )
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import contextvars
 import random
 from collections import Counter
@@ -99,7 +98,6 @@
         self.gate = NetworkGate()
         self.copies = copies
         self.copies_delivered: Counter[str] = Counter()  # by path, without ids
-        self._copy_tasks: set[asyncio.Task[None]] = set()
 
     async def cut_for(
         self, a: str, b: str, mode: str, seconds: float, one_way: bool = False
@@ -134,24 +132,18 @@
             raise ConnectionRefusedError
         answer = await service(method, target, body, a)
         await self.deliver(b, a)
-        delay_s = self.copies.draw_delay_s(target)
-        if delay_s is not None:
-            task = asyncio.create_task(self._deliver_copy(a, b, method, target, body, delay_s))
-            self._copy_tasks.add(task)
-            task.add_done_callback(self._copy_tasks.discard)
+        self.copies.answered(target, lambda: self.deliver_copy(a, b, method, target, body))
         return answer
 
-    async def _deliver_copy(
-        self, a: str, b: str, method: str, target: str, body: bytes | None, delay_s: float
+    async def deliver_copy(
+        self, a: str, b: str, method: str, target: str, body: bytes | None
     ) -> None:
         """Deliver an answered request once more; nobody gets the answer."""
-        await asyncio.sleep(delay_s)
-        with contextlib.suppress(OSError):
-            await self.gate.wait_until_open(a, b)
-            service = self.services.get(b)
-            if service is not None:
-                self.copies_delivered["/".join(target.partition("?")[0].split("/")[:3])] += 1
-                await service(method, target, body, a)
+        await self.gate.wait_until_open(a, b)
+        service = self.services.get(b)
+        if service is not None:
+            self.copies_delivered["/".join(target.partition("?")[0].split("/")[:3])] += 1
+            await service(method, target, body, a)
 
     async def request_with_retry_after(
         self, a: str, b: str, method: str, target: str, body: bytes | None, timeout_s: float
