What attempts occupy has a module of its own

It moves to bookkeeping/occupancy.py, word for word but for names (job_zones is tasks_by_zone there, private names are public where the ledger calls them). No behaviour is changed; tests that stand in for the ledger or patch a method follow the names.

--- a/dunehold/bookkeeping/ledger.py
+++ b/dunehold/bookkeeping/ledger.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from dunehold.bookkeeping.hosts import AttemptExit, Host, ReportOutcome, Run
+from dunehold.bookkeeping.occupancy import Occupancy
 from dunehold.bookkeeping.records import JobRecord
 from dunehold.bookkeeping.term_tokens import TermTokens
 from dunehold.bookkeeping.unreconciled import UnreconciledHosts
@@ -76,7 +77,7 @@
         max_proof_age_s: how long a node renews worker leases without a new proof that its view
             is current.
         log_restored_later: whether the caller runs restore_log_steps() itself.
-        runs_by_task: attempts that occupy a host, by task.
+        occupancy: what the attempts on the hosts occupy.
         reported_done: tasks that were reported as done, by job. Their completions may not be
             durable yet.
         unreconciled: hosts on record that have not answered this leader, with the tasks of
@@ -101,16 +102,13 @@
     log_restored_later: bool = False
     tokens: TermTokens = field(init=False)
     hosts: dict[HostId, Host] = field(default_factory=dict)
-    runs_by_task: dict[TaskId, list[Run]] = field(default_factory=dict)
-    task_zones_by_job: dict[JobId, dict[TaskId, Zone]] = field(default_factory=dict)
-    usage_by_team: dict[Team, Resources] = field(default_factory=dict)
+    occupancy: Occupancy = field(init=False)
     reported_done: dict[JobId, set[int]] = field(default_factory=dict)
     deleted_hosts: set[HostId] = field(default_factory=set)
     unreconciled: UnreconciledHosts = field(default_factory=UnreconciledHosts)
     out_of_service_order: Callable[[Host], OrderId | None] = lambda host: None
     relayed_until: dict[Zone, MonotonicTime] = field(default_factory=dict)
     _relay_changes: dict[Zone, int] = field(default_factory=dict)  # as of the last update
-    _zones: dict[JobId, dict[Zone, int]] = field(default_factory=dict)  # placed tasks by zone
     released: list[TaskId] = field(default_factory=list)
     lost_without_reports: int = 0
     revived_attempts: int = 0
@@ -121,6 +119,7 @@
 
     def __post_init__(self) -> None:
         self.tokens = TermTokens(self.token)
+        self.occupancy = Occupancy(self.hosts)
         self.update_relays(self.took_over_at)
         for record in self.view.hosts.values():
             host = self.add_host(
@@ -259,7 +258,7 @@
         """Remove all attempts from the host; return those that occupied it."""
         runs = list(host.runs.values())
         for run in runs:
-            self._remove(host, run)
+            self.occupancy.remove(host, run)
         return [run for run in runs if run.occupies]
 
     # -- reports -------------------------------------------------------------------
@@ -327,7 +326,7 @@
                 # last report was still in transit.
                 run.in_report_response = False
             if run.reported or (run.unsent and run.stop_grace_s is not None):
-                self._remove(host, run)
+                self.occupancy.remove(host, run)
                 if run.occupies:
                     lost.append(run)
         changed = changed or bool(exits) or bool(lost)
@@ -362,7 +361,7 @@
         if run.running_at is not None and timely and not run.first_seen_late:
             run.duration_s = Duration(now - run.running_at)
         run.exit_reason = task.exit_reason
-        self._release(host, run)
+        self.occupancy.release(host, run)
         reason = task.exit_reason or ExitReason.OTHER
         if reason is ExitReason.DONE and not run.service:
             self.reported_done.setdefault(run.id.task.job, set()).add(run.id.task.number)
@@ -390,7 +389,7 @@
         image_gb = spec.image_gb if spec is not None else 0.0
         run = Run(task.id, host.id, team, need, image, image_gb, now, service=service)
         run.adopted = True
-        self._occupy(host, run)
+        self.occupancy.occupy(host, run)
         return run
 
     # -- starts and stops ------------------------------------------------------------
@@ -406,7 +405,7 @@
             return "job waits for others"
         if not 0 <= task.number < spec.tasks or self.is_done(record, task.number):
             return "task is done"
-        if task in self.runs_by_task:
+        if task in self.occupancy.runs_by_task:
             return "task may be on a machine"
         if self.may_run_on_unreconciled_host(task) or not self.may_start_job(spec):
             return "an earlier leader may have started it"
@@ -441,7 +440,7 @@
 
     def placed_tasks(self, job: JobId) -> Iterator[TaskId]:
         """The job's tasks that occupy a host, or may be on one that has not answered."""
-        yield from self.task_zones_by_job.get(job, ())
+        yield from self.occupancy.task_zones_by_job.get(job, ())
         yield from self.unreconciled.tasks_of(job)
 
     def may_start_job(self, spec: JobSpec) -> bool:
@@ -474,11 +473,7 @@
             # The completion is not durable and only in that host's report. Without the log
             # entry the next leader would not know that and would run the task again.
             return True
-        return any(run.host == host_id for run in self.runs_by_task.get(task, ()))
-
-    def team_usage(self, team: Team) -> Resources:
-        """Resources of the team's attempts that occupy a host."""
-        return self.usage_by_team.get(team, NO_RESOURCES)
+        return any(run.host == host_id for run in self.occupancy.runs_by_task.get(task, ()))
 
     def max_team_usage(self, team: Team) -> Resources:
         """The most that the team may use, including on hosts that have not answered yet.
@@ -487,7 +482,7 @@
         to this one. What such a host may hold counts only against the team that owns it, where
         that is known, so that other teams are not delayed.
         """
-        return self.team_usage(team).plus(self.unreconciled.max_usage(team))
+        return self.occupancy.team_usage(team).plus(self.unreconciled.max_usage(team))
 
     def team_allows(self, spec: JobSpec, more: Resources = NO_RESOURCES) -> bool:
         """Whether the team's limit allows one more task of the job, and ``more`` besides.
@@ -505,7 +500,7 @@
 
     def job_zones(self, job: JobId) -> dict[Zone, int]:
         """Number of the job's tasks that occupy a host, by zone."""
-        return self._zones.get(job, {})
+        return self.occupancy.tasks_by_zone(job)
 
     def plan_start(
         self, record: JobRecord, task: TaskId, host: Host, tier: Tier, now: MonotonicTime
@@ -529,7 +524,7 @@
             image_cached=spec.image in host.images,
             tier=tier,
         )
-        self._occupy(host, run)
+        self.occupancy.occupy(host, run)
         host.idle_since = None
         return run
 
@@ -539,7 +534,7 @@
         The upper bits hold the term's first token. Tasks of a gang that start together share
         their attempt number, by which they find one another.
         """
-        if spec.kind is JobKind.GANG and spec.id in self.task_zones_by_job:
+        if spec.kind is JobKind.GANG and spec.id in self.occupancy.task_zones_by_job:
             shared = self._gang_attempts.get(spec.id)
             if shared is not None:
                 return shared
@@ -554,7 +549,7 @@
         host = self.hosts.get(run.host)
         if host is None or not run.unsent:
             return False
-        self._remove(host, run)
+        self.occupancy.remove(host, run)
         return True
 
     def stop(self, run: Run, grace_s: Duration) -> None:
@@ -699,7 +694,7 @@
         index = run.id.task.number
         if index >= record.spec.tasks or self.is_done(record, index):
             return True
-        others = self.runs_by_task.get(run.id.task, [])
+        others = self.occupancy.runs_by_task.get(run.id.task, [])
         return len(others) > 1 and run.id.attempt != min(r.id.attempt for r in others)
 
     def _may_forget(self, run: Run) -> bool:
@@ -714,58 +709,6 @@
             record.spec is not None and run.id.task.number >= record.spec.tasks
         )
 
-    # -- accounting ----------------------------------------------------------------
-
-    def _occupy(self, host: Host, run: Run) -> None:
-        """Add the attempt to the host and to the usage of its team."""
-        host.version += 1
-        host.runs[run.id] = run
-        host.used = host.used.plus(run.need)
-        self.usage_by_team[run.team] = self.team_usage(run.team).plus(run.need)
-        task = run.id.task
-        self.runs_by_task.setdefault(task, []).append(run)
-        self._set_zone(task, host.zone)
-
-    def _release(self, host: Host, run: Run) -> None:
-        """Free the attempt's resources. It stays on the host, as its worker may report it."""
-        host.version += 1
-        host.used = host.used.minus(run.need)
-        self.usage_by_team[run.team] = self.team_usage(run.team).minus(run.need)
-        task = run.id.task
-        others = [other for other in self.runs_by_task.get(task, ()) if other is not run]
-        if others:
-            self.runs_by_task[task] = others
-            other_host = self.hosts.get(others[0].host)
-            if other_host is not None and other_host.zone != host.zone:
-                self._set_zone(task, other_host.zone)
-            return
-        self.runs_by_task.pop(task, None)
-        tasks = self.task_zones_by_job.get(task.job)
-        if tasks is None or task not in tasks:
-            return
-        self._set_zone(task, None)
-        if not tasks:
-            del self.task_zones_by_job[task.job]
-            del self._zones[task.job]
-
-    def _set_zone(self, task: TaskId, zone: Zone | None) -> None:
-        """Count the task in ``zone`` and in no other; None removes it from the counts."""
-        tasks = self.task_zones_by_job.setdefault(task.job, {})
-        zones = self._zones.setdefault(task.job, {})
-        before = tasks.pop(task, None)
-        if before is not None:
-            zones[before] -= 1
-            if not zones[before]:
-                del zones[before]
-        if zone is not None:
-            tasks[task] = zone
-            zones[zone] = zones.get(zone, 0) + 1
-
-    def _remove(self, host: Host, run: Run) -> None:
-        """Remove the attempt from the host and free its resources."""
-        if host.runs.pop(run.id, None) is not None and run.occupies:
-            self._release(host, run)
-
 
 def host_allowed(spec: JobSpec, type_name: TypeName, zone: Zone, spot: bool) -> bool:
     """Whether the job allows this machine type, zone and kind of rental."""
--- a/dunehold/coordination/maintenance/controller.py
+++ b/dunehold/coordination/maintenance/controller.py
@@ -577,7 +577,7 @@
                     continue
                 ran = run.ran_s(now)
                 service = spec.kind is JobKind.SERVICE
-                members = len(self.ledger.task_zones_by_job.get(spec.id, ()))
+                members = len(self.ledger.occupancy.task_zones_by_job.get(spec.id, ()))
                 gang = members if spec.kind is JobKind.GANG else 0
                 can_move = service or spec.checkpoint_s > 0
                 found.append(
@@ -635,8 +635,8 @@
     def _replicas_up(self, job: JobId) -> int:
         """Counts the replicas of a service that run and have no stop commanded."""
         count = 0
-        for task in self.ledger.task_zones_by_job.get(job, ()):
-            runs = self.ledger.runs_by_task.get(task, ())
+        for task in self.ledger.occupancy.task_zones_by_job.get(job, ()):
+            runs = self.ledger.occupancy.runs_by_task.get(task, ())
             count += any(
                 run.phase is TaskPhase.RUNNING and run.stop_grace_s is None for run in runs
             )
@@ -645,20 +645,22 @@
     def _team_totals(self) -> dict[Team, TeamTotals]:
         """Returns what each team has on machines; tasks do not include replicas."""
         counts: dict[Team, int] = {}
-        for runs in self.ledger.runs_by_task.values():
+        for runs in self.ledger.occupancy.runs_by_task.values():
             if not runs[0].service:
                 counts[runs[0].team] = counts.get(runs[0].team, 0) + 1
         return {
             team: TeamTotals(counts.get(team, 0), use.cpus)
-            for team, use in self.ledger.usage_by_team.items()
+            for team, use in self.ledger.occupancy.usage_by_team.items()
         }
 
     def _attempts_to_stop(self, candidate: DrainCandidate) -> list[AttemptId]:
         """Returns the candidate's attempt, or those of its whole gang."""
         if not candidate.gang:
             return [candidate.attempt]
-        tasks = self.ledger.task_zones_by_job.get(candidate.attempt.task.job, {})
-        return [run.id for task in tasks for run in self.ledger.runs_by_task.get(task, ())]
+        tasks = self.ledger.occupancy.task_zones_by_job.get(candidate.attempt.task.job, {})
+        return [
+            run.id for task in tasks for run in self.ledger.occupancy.runs_by_task.get(task, ())
+        ]
 
     # -- budgets ---------------------------------------------------------------------------
 
@@ -735,7 +737,7 @@
             return
         for group in groups:
             for attempt in group.attempts:
-                for run in list(self.ledger.runs_by_task.get(attempt.task, ())):
+                for run in list(self.ledger.occupancy.runs_by_task.get(attempt.task, ())):
                     if run.id == attempt and run.stop_grace_s is None:
                         self._stop_run(run, group)
 
--- a/dunehold/coordination/node.py
+++ b/dunehold/coordination/node.py
@@ -456,7 +456,7 @@
         it does not answer, the last known count is returned, or 0.
         """
         if self.leader is not None:
-            return len(self.leader.ledger.task_zones_by_job.get(job, ()))
+            return len(self.leader.ledger.occupancy.task_zones_by_job.get(job, ()))
         if self.now() - self._running_at > RUNNING_COUNTS_MAX_AGE_S:
             self._running_at = self.now()
             client = self._leaders_client()
--- a/dunehold/coordination/planning/guarantees.py
+++ b/dunehold/coordination/planning/guarantees.py
@@ -29,7 +29,10 @@
     entitlements = {team.name: team.guarantee for team in settings.teams.values()}
     if available_cpus is None:
         return entitlements
-    wants = {team: ledger.team_usage(team).cpus for team, entitlement in entitlements.items()}
+    wants = {
+        team: ledger.occupancy.team_usage(team).cpus
+        for team, entitlement in entitlements.items()
+    }
     for progress in jobs.values():
         spec = progress.spec
         if spec.team in wants:
@@ -69,7 +72,9 @@
             continue
         if health.is_broken(record.id):
             continue  # it must not use up the guarantee that jobs which can run need
-        unfinished = len(progress.waiting) + len(ledger.task_zones_by_job.get(record.id, ()))
+        unfinished = len(progress.waiting) + len(
+            ledger.occupancy.task_zones_by_job.get(record.id, ())
+        )
         need = spec.need
         total = sums.get(spec.team, NO_RESOURCES).plus(
             Resources(need.cpus * unfinished, need.gpus * unfinished, 0.0)
@@ -97,10 +102,12 @@
     guarantees = {
         team.name: team.guarantee
         for team in settings.teams.values()
-        if not team.guarantee.holds(ledger.team_usage(team.name)._replace(memory_gb=0.0))
+        if not team.guarantee.holds(
+            ledger.occupancy.team_usage(team.name)._replace(memory_gb=0.0)
+        )
     }
     by_team: dict[Team, list[Run]] = {}
-    for runs in ledger.runs_by_task.values():
+    for runs in ledger.occupancy.runs_by_task.values():
         for run in runs:
             if run.team in guarantees:
                 by_team.setdefault(run.team, []).append(run)
--- a/dunehold/coordination/planning/snapshot_builder.py
+++ b/dunehold/coordination/planning/snapshot_builder.py
@@ -189,7 +189,10 @@
             record = self.ledger.view.active.get(job)
             if record is None:
                 continue
-            if progress.spec.kind is JobKind.GANG and job in self.ledger.task_zones_by_job:
+            if (
+                progress.spec.kind is JobKind.GANG
+                and job in self.ledger.occupancy.task_zones_by_job
+            ):
                 # Its remaining tasks exit by themselves; then the whole gang is started again.
                 continue
             if not self.ledger.may_start_job(progress.spec):
@@ -332,7 +335,7 @@
             urgency=urgency(
                 spec.kind is JobKind.SERVICE,
                 spec.tasks,
-                len(self.ledger.task_zones_by_job.get(spec.id, ())),
+                len(self.ledger.occupancy.task_zones_by_job.get(spec.id, ())),
             ),
             guaranteed=guaranteed,
             broken=broken,
@@ -347,7 +350,7 @@
         """Whether no task of the job may be started now although some are waiting."""
         if now < progress.held_until or self.health.in_backoff(job, now):
             return True
-        return self.health.is_on_trial(job) and job in self.ledger.task_zones_by_job
+        return self.health.is_on_trial(job) and job in self.ledger.occupancy.task_zones_by_job
 
     def _order(
         self, progress: JobProgress, waited: float, run_s: float, eligible_at: float
@@ -576,7 +579,9 @@
                 and (spec.spot or not spot)
             )
             if fits and len(fits) < len(kinds):
-                tasks = len(progress.waiting) + len(self.ledger.task_zones_by_job.get(job, ()))
+                tasks = len(progress.waiting) + len(
+                    self.ledger.occupancy.task_zones_by_job.get(job, ())
+                )
                 wanted[fits] = wanted.get(fits, 0.0) + tasks * spec.need.cpus
         decay = 0.5 ** ((now - self.scarcity_updated_at) / SCARCITY_HALF_LIFE_S)
         self.scarcity_updated_at = now
@@ -653,7 +658,7 @@
     def peak_demand_cpus(self, demands: list[Demand], now: MonotonicTime) -> float:
         """The most CPUs wanted at once within ``demand_memory_s``, with headroom added."""
         memory_s = self.settings.operator.demand_memory_s
-        wanted_cpus = sum(usage.cpus for usage in self.ledger.usage_by_team.values())
+        wanted_cpus = sum(usage.cpus for usage in self.ledger.occupancy.usage_by_team.values())
         wanted_cpus += sum(demand.need.cpus * demand.tasks for demand in demands)
         while self.demand_peaks and self.demand_peaks[0][0] < now - memory_s:
             self.demand_peaks.popleft()
--- a/dunehold/coordination/term/leader.py
+++ b/dunehold/coordination/term/leader.py
@@ -354,8 +354,8 @@
         A start that is still in flight could otherwise begin a task after the user was told
         that the job is cancelled and will not start.
         """
-        for task in list(self.ledger.task_zones_by_job.get(job, ())):
-            for run in list(self.ledger.runs_by_task.get(task, ())):
+        for task in list(self.ledger.occupancy.task_zones_by_job.get(job, ())):
+            for run in list(self.ledger.occupancy.runs_by_task.get(task, ())):
                 self._stop_and_send(run, Duration(0.0))
 
     def orders_changed(self) -> None:
@@ -372,8 +372,8 @@
         if record is None or progress is None:
             return
         progress.completion_targets_s = self.snapshot_builder.completion_targets_s(record)
-        for task in self.ledger.task_zones_by_job.get(job, ()):
-            for run in self.ledger.runs_by_task.get(task, ()):
+        for task in self.ledger.occupancy.task_zones_by_job.get(job, ()):
+            for run in self.ledger.occupancy.runs_by_task.get(task, ()):
                 self.ledger.hosts[run.host].version += 1  # its cached state holds the priority
         self.request_scheduling()
 
@@ -393,7 +393,9 @@
 
     def running_counts(self) -> dict[JobId, int]:
         """Returns, by job, how many tasks occupy a machine, as far as the ledger knows."""
-        return {job: len(tasks) for job, tasks in self.ledger.task_zones_by_job.items()}
+        return {
+            job: len(tasks) for job, tasks in self.ledger.occupancy.task_zones_by_job.items()
+        }
 
     # -- reports -----------------------------------------------------------------------
 
@@ -594,7 +596,7 @@
                     self.quarantine.record_duration(host, progress, run.duration_s)
             if not run.service:
                 job_finished = progress is None or not (
-                    progress.waiting or job in self.ledger.task_zones_by_job
+                    progress.waiting or job in self.ledger.occupancy.task_zones_by_job
                 )
                 self.recorder.record_job(job, job_finished)
                 return
@@ -611,7 +613,7 @@
         """Lets a task wait for a start unless it is not needed or may be on a machine."""
         record = self.view.active.get(task.job)
         progress = self.progress.get(task.job)
-        if record is None or progress is None or task in self.ledger.runs_by_task:
+        if record is None or progress is None or task in self.ledger.occupancy.runs_by_task:
             return
         if self.ledger.may_run_on_unreconciled_host(task):
             return
@@ -689,7 +691,7 @@
         """Applies a plan to the ledger; starts are sent once they are in the durable log."""
         self._stop_planned(decided.stops, now)
         for attempt in decided.promotions:
-            for run in self.ledger.runs_by_task.get(attempt.task, ()):
+            for run in self.ledger.occupancy.runs_by_task.get(attempt.task, ()):
                 if run.id == attempt:
                     run.tier = Tier.FOREGROUND
                     self.ledger.hosts[run.host].version += 1
@@ -704,7 +706,7 @@
                 log.debug(
                     "start of task %s on host %s refused: %s", start.task, host.id, planned
                 )
-                if start.task in self.ledger.runs_by_task or self.ledger.is_done(
+                if start.task in self.ledger.occupancy.runs_by_task or self.ledger.is_done(
                     record, start.task.number
                 ):
                     progress.waiting.discard(start.task.number)
--- a/dunehold/coordination/term/quarantine.py
+++ b/dunehold/coordination/term/quarantine.py
@@ -62,8 +62,8 @@
         The tasks of a service never complete, so that nothing else would end its trial.
         """
         for job in sorted(self.health.jobs_on_trial()):
-            for task in list(self.ledger.task_zones_by_job.get(job, ())):
-                for run in self.ledger.runs_by_task.get(task, ()):
+            for task in list(self.ledger.occupancy.task_zones_by_job.get(job, ())):
+                for run in self.ledger.occupancy.runs_by_task.get(task, ()):
                     host = self.ledger.hosts.get(run.host)
                     if run.service and host is not None and run.ran_s(now) >= SERVICE_TRIAL_S:
                         self.record_success(host, job, now)
--- a/tests/test_backfill.py
+++ b/tests/test_backfill.py
@@ -536,7 +536,7 @@
         )
         for name, spot in up
     }
-    ledger: Any = SimpleNamespace(hosts=hosts, task_zones_by_job={})
+    ledger: Any = SimpleNamespace(hosts=hosts, occupancy=SimpleNamespace(task_zones_by_job={}))
     builder = SnapshotBuilder(
         SimpleNamespace(objectives=()), ledger, None, types, Health(2), None  # type: ignore[arg-type]
     )  # fmt: skip
--- a/tests/test_further_fault_combinations.py
+++ b/tests/test_further_fault_combinations.py
@@ -411,13 +411,13 @@
     def stop_and_remove(self: Leader, job: JobId) -> None:
         runs = [
             r
-            for t in self.ledger.task_zones_by_job.get(job, ())
-            for r in self.ledger.runs_by_task[t]
+            for t in self.ledger.occupancy.task_zones_by_job.get(job, ())
+            for r in self.ledger.occupancy.runs_by_task[t]
         ]
         stop_all(self, job)
         for run in runs:
             if run.id in self.ledger.hosts[run.host].runs:
-                self.ledger._remove(self.ledger.hosts[run.host], run)
+                self.ledger.occupancy.remove(self.ledger.hosts[run.host], run)
 
     monkeypatch.setattr("tests.test_rules.World", TightLimits)
     monkeypatch.setattr(Leader, "_stop_all_attempts", stop_and_remove)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -97,7 +97,7 @@
     run = start_task(ledger, host, record, back)
     ledger.commands(host, direct=True, starts=True)
     assert ledger.expire_leases(MonotonicTime(15.6)) == []
-    assert TASK in ledger.runs_by_task
+    assert TASK in ledger.occupancy.runs_by_task
     assert ledger.expire_leases(MonotonicTime(back + LEASE_S * 1.01 + 1.0)) == [run]
 
 
@@ -122,7 +122,7 @@
     ledger.commands(host, direct=True, starts=True)
     ledger.ingest(report(1, 2), now)
     ledger.stop(run, Duration(0.0))
-    assert TASK in ledger.runs_by_task
+    assert TASK in ledger.occupancy.runs_by_task
     # The start is sent again together with its stop, so that a late start command finds the
     # attempt ended.
     assert [type(c).__name__ for c in ledger.commands(host, False, True)] == ["Start", "Stop"]
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -206,9 +206,9 @@
         jobs[spec.id] = JobProgress(spec, {0})
     ledger: Any = SimpleNamespace(
         view=SimpleNamespace(active=records),
-        task_zones_by_job={},
-        runs_by_task={},
-        team_usage=lambda _: NO_RESOURCES,
+        occupancy=SimpleNamespace(
+            task_zones_by_job={}, runs_by_task={}, team_usage=lambda _: NO_RESOURCES
+        ),
     )
     settings: Any = SimpleNamespace(teams=teams)
 
@@ -224,7 +224,10 @@
                 spec_of(records[job]).need, Image("i"), 1.0, MonotonicTime(n))
             for n, job in enumerate(records)]  # fmt: skip
     use = {team: Resources(40.0, 0.0, 0.0) for team in teams}
-    ledger.runs_by_task, ledger.team_usage = {run.id.task: [run] for run in busy}, use.get
+    ledger.occupancy.runs_by_task, ledger.occupancy.team_usage = (
+        {run.id.task: [run] for run in busy},
+        use.get,
+    )
     beyond = guarantees.borrowed_runs(settings, ledger)
     assert {run.team for run in busy if run.id in beyond} == {"red"} and len(beyond) == 6
 
@@ -243,7 +246,9 @@
     ]  # fmt: skip
     use = Resources(28.0, 0.0, 7.0)
     ledger: Any = SimpleNamespace(
-        runs_by_task={run.id.task: [run] for run in runs}, team_usage=lambda _: use
+        occupancy=SimpleNamespace(
+            runs_by_task={run.id.task: [run] for run in runs}, team_usage=lambda _: use
+        )
     )
     settings: Any = SimpleNamespace(teams=teams)
 
