--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import importlib
 import io
 import subprocess
@@ -36,7 +37,7 @@
 from tests.test_orders import WorldWithOrders, replace_and_crashes
 from tests.test_rules import all_faults, crashes, cuts, outages, simulate
 from tests.test_zone_loss import isolate_zone
-from tests.world import ZONES, RuleBroken, World
+from tests.world import ZONES, RuleBroken, ServiceResponse, World
 
 ROOT = Path(__file__).resolve().parent.parent
 RECORDED_PATH = ROOT / "tests" / "recorded-production.json"
@@ -187,6 +188,41 @@
     assert world.checker.starts > 10 and any(job.get("awaits") for job in world.job_rows)
 
 
+async def copies_of_calls_of_this_version(world: World) -> None:
+    """Copy all answered calls to workers that nodes of this version have sent."""
+    call = world.network.call
+
+    async def copying_call(
+        a: str, b: str, method: str, target: str, body: bytes | None
+    ) -> ServiceResponse:
+        response = await call(a, b, method, target, body)
+        process = next((p for p in world.nodes if p.name == a.partition("#")[0]), None)
+        if target == "/orders" and process is not None and process.upgraded:
+            world.spawn(deliver_later(a, b, method, target, body))
+        return response
+
+    async def deliver_later(*request: Any) -> None:
+        await asyncio.sleep(world.rng.uniform(0.3, 30.0))
+        with contextlib.suppress(OSError):
+            await world.network.deliver_copy(*request)
+
+    world.network.call = copying_call  # type: ignore[method-assign]
+    await crashes(world)
+
+
+@pytest.mark.parametrize("seed", range(420, 424))
+def test_copies_of_this_version_s_calls_do_no_harm_beside_the_earlier_version(
+    production: Production | None, seed: int
+) -> None:
+    """Guards against tokens that the earlier version uses again, or does not understand."""
+    if production is None:
+        return _check_recorded_data()
+    scenario = upgrade_scenario(production, copies_of_calls_of_this_version)
+    world = simulate(seed, scenario, nodes=(3, 5)[seed % 2])
+    assert world.counts["old leads"] and world.counts["new leads"], world.counts
+    assert world.network.copies_delivered["/orders"] > 20 and world.checker.starts > 10
+
+
 # -- the state service's later limits -------------------------------------------------------
 
 
