Tests: a run on virtual time ends though a task drops its cancellation

WorkerAgent._report_loop and _run_worker had dropped their cancellation and went on: in Python 3.11 asyncio.wait_for returns its result when a cancellation comes as the awaited event is set. It is a fault of the harness and can meet any world that ends early; no product code is at fault.

Change: tasks are cancelled until none is left. The two copies of the code that runs a world share one function in tests/virtual_time.py.

--- a/tests/test_broken_jobs.py
+++ b/tests/test_broken_jobs.py
@@ -17,7 +17,7 @@
 from dunehold.emulator.history import Event
 from dunehold.types import HostId, JobId, MonotonicTime
 from tests.test_fault_combinations import leader_of
-from tests.virtual_time import VirtualLoop
+from tests.virtual_time import run_on_virtual_time
 from tests.world import World
 
 FAULTY_MACHINES = 3  # the machines that are up first
@@ -106,23 +106,13 @@
 
 def run_without_arrivals(seed: int, faults: Callable[[World], Any], end_s: float) -> World:
     """Run a world in which only the fault function submits jobs."""
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
 
     async def run_world() -> World:
         world = World(seed)
         await world.run(faults, -1.0, end_s)
         return world
 
-    try:
-        return loop.run_until_complete(run_world())
-    finally:
-        tasks = asyncio.all_tasks(loop)
-        for task in tasks:
-            task.cancel()
-        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
-        loop.close()
-        asyncio.set_event_loop(None)
+    return run_on_virtual_time(run_world)
 
 
 @pytest.mark.parametrize("change_leader", [False, True])
--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -15,6 +15,7 @@
 from dunehold.types import Token
 from tests.test_fault_combinations import leader_of
 from tests.test_rules import simulate
+from tests.virtual_time import run_on_virtual_time
 from tests.world import NodeProcess, World
 
 STEP_S = 0.5  # duration of each step of a takeover that is made slow
@@ -116,3 +117,23 @@
     # Longer than the leader's lease of 3 s.
     assert world.counts["steps"] * STEP_S > 6.0, world.counts
     assert world.counts["restored"] == 1 and world.leader_count == 1
+
+
+def test_a_run_on_virtual_time_ends_though_a_task_drops_a_cancellation() -> None:
+    """Guards against test runs that never end."""
+    cancellations: list[float] = []
+
+    async def drop_first_cancellation() -> None:
+        while len(cancellations) < 2:
+            try:
+                await asyncio.sleep(1e6)
+            except asyncio.CancelledError:
+                cancellations.append(asyncio.get_running_loop().time())
+
+    async def work() -> str:
+        task = asyncio.create_task(drop_first_cancellation())
+        await asyncio.sleep(1.0)
+        return "running" if not task.done() else "ended"
+
+    assert run_on_virtual_time(work) == "running"
+    assert len(cancellations) == 2
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -21,7 +21,7 @@
 from dunehold.emulator.model.cloud import BootProfile
 from dunehold.settings import Settings
 from tests import world as world_module
-from tests.virtual_time import VirtualLoop
+from tests.virtual_time import run_on_virtual_time
 from tests.world import ZONES, NodeProcess, RuleBroken, World
 
 BUSY_S = 90.0  # jobs arrive until then
@@ -38,8 +38,6 @@
 
     Raises RuleBroken if a rule is broken.
     """
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
 
     async def run_world() -> World:
         world = World(seed, tamper, nodes)
@@ -47,14 +45,8 @@
         return world
 
     try:
-        return loop.run_until_complete(run_world())
+        return run_on_virtual_time(run_world)
     finally:
-        tasks = asyncio.all_tasks(loop)
-        for task in tasks:
-            task.cancel()
-        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
-        loop.close()
-        asyncio.set_event_loop(None)
         gc.collect()
 
 
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -12,12 +12,15 @@
 import heapq
 import selectors
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from contextvars import Context, ContextVar
-from typing import Any
+from typing import Any, TypeVar
 
 # The simulated process to which the running code belongs, None for code outside of all.
 CURRENT_PROCESS: ContextVar[Any] = ContextVar("owner", default=None)
+# Virtual time after which a task that goes on is cancelled again.
+CANCEL_TIMEOUT_S = 0.1
+Result = TypeVar("Result")
 NO_PROCESS_CONTEXT = Context()  # for callbacks that belong to no process
 
 
@@ -85,3 +88,29 @@
 
     def time(self) -> float:
         return self.clock.now
+
+
+def run_on_virtual_time(work: Callable[[], Coroutine[Any, Any, Result]]) -> Result:
+    """Run ``work`` on a new loop on virtual time, and end everything that it has started."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(work())
+    finally:
+        _cancel_all_tasks(loop)
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+def _cancel_all_tasks(loop: VirtualLoop) -> None:
+    """Cancel all tasks until none is left.
+
+    ``asyncio.wait_for`` of Python 3.11 may drop a cancellation as it is about to return.
+    """
+    while tasks := asyncio.all_tasks(loop):
+        for task in tasks:
+            task.cancel()
+        done, _ = loop.run_until_complete(asyncio.wait(tasks, timeout=CANCEL_TIMEOUT_S))
+        for task in done:
+            if not task.cancelled():
+                task.exception()  # nobody else asks for it
